--- /dev/null
+++ b/wagtailbend/base/ids.h
@@ -0,0 +1,82 @@
+// Identifiers that cross process boundaries, with their text form.
+//
+//   RequestId id = RequestId::Random(rng);
+//   std::string header = id.ToString();
+
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "wagtailbend/base/rng.h"
+
+namespace wagtailbend {
+
+/// Identifies one customer request or one downstream call. 128 random bits.
+struct RequestId
+{
+  uint64_t high = 0;
+  uint64_t low = 0;
+
+  /// Not thread-safe: the caller owns aRng.
+  static RequestId Random(Rng& aRng);
+  /// Parses 32 hexadecimal digits. Thread-safe.
+  static std::optional<RequestId> Parse(std::string_view aText);
+  /// Returns 32 hexadecimal digits. Thread-safe.
+  std::string ToString() const;
+
+  auto operator<=>(const RequestId&) const = default;
+};
+
+/// Identifies one attempt of a request. 64 random bits.
+struct AttemptId
+{
+  uint64_t value = 0;
+
+  /// Not thread-safe: the caller owns aRng.
+  static AttemptId Random(Rng& aRng);
+  /// Parses 16 hexadecimal digits. Thread-safe.
+  static std::optional<AttemptId> Parse(std::string_view aText);
+  /// Returns 16 hexadecimal digits. Thread-safe.
+  std::string ToString() const;
+
+  auto operator<=>(const AttemptId&) const = default;
+};
+
+/// Identifies one run of a daemon process.
+struct DaemonId
+{
+  /// Name from the settings, unique in the deployment.
+  std::string name;
+  /// Random, new at each start of the process.
+  uint64_t incarnation = 0;
+
+  /// Parses "name/16 hexadecimal digits". Thread-safe.
+  static std::optional<DaemonId> Parse(std::string_view aText);
+  std::string ToString() const;
+
+  auto operator<=>(const DaemonId&) const = default;
+};
+
+/// Returns 16 hexadecimal digits. Thread-safe.
+std::string
+ToHex(uint64_t aValue);
+
+/// Parses exactly 16 hexadecimal digits. Thread-safe.
+std::optional<uint64_t>
+ParseHex(std::string_view aText);
+
+} // namespace wagtailbend
+
+template<>
+struct std::hash<wagtailbend::RequestId>
+{
+  size_t operator()(const wagtailbend::RequestId& aId) const noexcept
+  {
+    // The bits are random already.
+    return static_cast<size_t>(aId.low ^ aId.high);
+  }
+};
--- /dev/null
+++ b/wagtailbend/base/ids_test.cc
@@ -0,0 +1,36 @@
+#include "wagtailbend/base/ids.h"
+
+#include <gtest/gtest.h>
+
+namespace wagtailbend {
+namespace {
+
+TEST(IdsTest, TextFormsRoundTrip)
+{
+  Rng rng(1);
+  const RequestId request = RequestId::Random(rng);
+  EXPECT_EQ(RequestId::Parse(request.ToString()), request);
+  const AttemptId attempt = AttemptId::Random(rng);
+  EXPECT_EQ(AttemptId::Parse(attempt.ToString()), attempt);
+  const DaemonId daemon{ "balances-1", rng() };
+  EXPECT_EQ(DaemonId::Parse(daemon.ToString()), daemon);
+}
+
+// Guards against malformed metadata that is taken for a valid id.
+TEST(IdsTest, MalformedTextIsRefused)
+{
+  for (const char* text : { "",
+                            "xyz",
+                            "0123456789abcdeg",
+                            "0123456789abcde",
+                            "+123456789abcdef",
+                            "-123456789abcdef" }) {
+    EXPECT_EQ(ParseHex(text), std::nullopt) << text;
+  }
+  EXPECT_EQ(RequestId::Parse("0123456789abcdef"), std::nullopt);
+  EXPECT_EQ(DaemonId::Parse("/0123456789abcdef"), std::nullopt);
+  EXPECT_EQ(DaemonId::Parse("name"), std::nullopt);
+}
+
+} // namespace
+} // namespace wagtailbend
--- /dev/null
+++ b/wagtailbend/base/time.h
@@ -0,0 +1,41 @@
+// Time types shared by all modules. Decision logic receives the current time
+// as an argument and never reads a clock itself.
+//
+//   Duration timeout = std::chrono::milliseconds(40);
+//   TimePoint deadline = aNow + timeout;
+
+#pragma once
+
+#include <chrono>
+
+namespace wagtailbend {
+
+using Duration = std::chrono::nanoseconds;
+
+/// A point on the process's monotonic clock. Not comparable across processes.
+using TimePoint = std::chrono::time_point<std::chrono::steady_clock, Duration>;
+
+/// Returns the current monotonic time. Thread-safe.
+inline TimePoint
+MonotonicNow()
+{
+  return std::chrono::time_point_cast<Duration>(
+    std::chrono::steady_clock::now());
+}
+
+/// Converts to whole milliseconds, rounding toward zero.
+constexpr int64_t
+ToMilliseconds(Duration aDuration)
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(aDuration)
+    .count();
+}
+
+/// Converts to fractional milliseconds.
+constexpr double
+ToFractionalMilliseconds(Duration aDuration)
+{
+  return std::chrono::duration<double, std::milli>(aDuration).count();
+}
+
+} // namespace wagtailbend
--- /dev/null
+++ b/wagtailbend/schema/compile.cc
@@ -0,0 +1,373 @@
+#include <filesystem>
+#include <functional>
+#include <set>
+
+#include <fmt/format.h>
+#include <fmt/ranges.h>
+#include <google/protobuf/compiler/importer.h>
+#include <google/protobuf/descriptor.pb.h>
+
+#include "wagtailbend/options.pb.h"
+#include "wagtailbend/schema/schema.h"
+
+namespace wagtailbend::schema {
+namespace {
+
+namespace pb = google::protobuf;
+
+constexpr uint32_t kMaxAttemptBudget = 1000;
+constexpr uint32_t kMaxDeadlineMs = 600'000;
+constexpr size_t kMaxCallDepth = 14;
+
+using Problems = std::vector<std::string>;
+
+// Collects parse errors of the protobuf compiler as "file: line: reason".
+class ErrorCollector : public pb::compiler::MultiFileErrorCollector
+{
+public:
+  explicit ErrorCollector(Problems& aProblems)
+    : m_problems(aProblems)
+  {
+  }
+
+  void AddError(const std::string& aFile,
+                int aLine,
+                int aColumn,
+                const std::string& aMessage) override
+  {
+    m_problems.push_back(fmt::format(
+      "{}: line {}:{}: {}", aFile, aLine + 1, aColumn + 1, aMessage));
+  }
+
+private:
+  Problems& m_problems;
+};
+
+// Serves the project's option definitions from the descriptors linked into
+// the program, so that no import path has to be installed.
+class BuiltInSourceTree : public pb::compiler::DiskSourceTree
+{
+public:
+  pb::io::ZeroCopyInputStream* Open(const std::string& aFile) override
+  {
+    const pb::FileDescriptor* file = nullptr;
+    if (aFile == "wagtailbend/options.proto") {
+      file = wagtailbend::MethodPolicy::descriptor()->file();
+    } else if (aFile == "google/protobuf/descriptor.proto") {
+      file = pb::FileDescriptorProto::descriptor()->file();
+    }
+    if (!file) {
+      return pb::compiler::DiskSourceTree::Open(aFile);
+    }
+    auto& text = m_texts[aFile];
+    text = file->DebugString();
+    return new pb::io::ArrayInputStream(text.data(),
+                                        static_cast<int>(text.size()));
+  }
+
+private:
+  std::map<std::string, std::string> m_texts;
+};
+
+// Parses options again with the linked extensions, because descriptors of a
+// separate pool hold custom options as unknown fields.
+template<typename Options>
+Options
+Reparse(const Options& aOptions)
+{
+  Options parsed;
+  parsed.ParseFromString(aOptions.SerializeAsString());
+  return parsed;
+}
+
+class Builder
+{
+public:
+  explicit Builder(Problems& aProblems)
+    : m_problems(aProblems)
+  {
+  }
+
+  void AddFile(const pb::FileDescriptorProto& aFile)
+  {
+    m_file = aFile.name();
+    const auto options = Reparse(aFile.options());
+    if (options.HasExtension(wagtailbend::deployment)) {
+      AddDeployment(options.GetExtension(wagtailbend::deployment));
+    }
+    for (const auto& service : aFile.service()) {
+      AddService(aFile.package(), service);
+    }
+  }
+
+  Schema Build()
+  {
+    if (m_deployment.empty()) {
+      Report("option (wagtailbend.deployment).name", "must be set");
+    }
+    if (m_methods.empty()) {
+      Report("service", "the schema declares no method");
+    }
+    CheckCalls();
+    return Schema(std::move(m_deployment),
+                  std::move(m_domains),
+                  m_crossRegionBitsPerSecond,
+                  std::move(m_services),
+                  std::move(m_methods));
+  }
+
+private:
+  void Report(std::string_view aField, std::string_view aReason)
+  {
+    m_problems.push_back(fmt::format("{}: {}: {}", m_file, aField, aReason));
+  }
+
+  void AddDeployment(const wagtailbend::DeploymentPolicy& aPolicy)
+  {
+    m_deployment = aPolicy.name();
+    m_crossRegionBitsPerSecond =
+      uint64_t{ aPolicy.cross_region_kbit_per_s() } * 1000;
+    std::set<std::string> names;
+    for (const auto& domain : aPolicy.failure_domains()) {
+      const std::string field =
+        fmt::format("failure_domains \"{}\"", domain.name());
+      if (domain.name().empty() || domain.region().empty()) {
+        Report(field, "name and region must be set");
+      }
+      if (!names.insert(domain.name()).second) {
+        Report(field, "is declared twice");
+      }
+      m_domains.push_back({ domain.name(), domain.region() });
+    }
+    if (m_domains.empty()) {
+      Report("failure_domains", "at least one must be declared");
+    }
+    if (m_crossRegionBitsPerSecond == 0) {
+      Report("cross_region_kbit_per_s", "must be at least 1");
+    }
+  }
+
+  void AddService(const std::string& aPackage,
+                  const pb::ServiceDescriptorProto& aService)
+  {
+    const std::string name =
+      aPackage.empty() ? aService.name()
+                       : fmt::format("{}.{}", aPackage, aService.name());
+    const auto options = Reparse(aService.options());
+    if (!options.HasExtension(wagtailbend::service)) {
+      Report(name, "option (wagtailbend.service) is missing");
+    }
+    const auto& policy = options.GetExtension(wagtailbend::service);
+    if (policy.slots() == 0) {
+      Report(fmt::format("{}.slots", name), "must be at least 1");
+    }
+    if (policy.connections() == 0) {
+      Report(fmt::format("{}.connections", name), "must be at least 1");
+    }
+    m_services.push_back(
+      { name, policy.slots(), policy.connections(), policy.internal() });
+    for (const auto& method : aService.method()) {
+      AddMethod(name, method);
+    }
+  }
+
+  void AddMethod(const std::string& aService,
+                 const pb::MethodDescriptorProto& aMethod)
+  {
+    const std::string field = fmt::format("{}/{}", aService, aMethod.name());
+    const auto options = Reparse(aMethod.options());
+    if (!options.HasExtension(wagtailbend::method)) {
+      Report(field, "option (wagtailbend.method) is missing");
+      return;
+    }
+    const auto& policy = options.GetExtension(wagtailbend::method);
+    CheckMethod(field, aMethod, policy);
+    Method method;
+    method.path = fmt::format("/{}", field);
+    method.service = aService;
+    method.kind = policy.kind() == wagtailbend::ORDER  ? Kind::kOrder
+                  : policy.kind() == wagtailbend::BULK ? Kind::kBulk
+                                                       : Kind::kLookup;
+    method.priority = policy.priority();
+    method.deadline = std::chrono::milliseconds(policy.deadline_ms());
+    method.idempotent = policy.idempotent();
+    method.attemptBudget = policy.attempt_budget();
+    for (const std::string& call : policy.calls()) {
+      method.calls.push_back(fmt::format("/{}", call));
+    }
+    method.serverStreaming = aMethod.server_streaming();
+    m_methods.push_back(std::move(method));
+  }
+
+  void CheckMethod(const std::string& aField,
+                   const pb::MethodDescriptorProto& aMethod,
+                   const wagtailbend::MethodPolicy& aPolicy)
+  {
+    if (aPolicy.kind() == wagtailbend::KIND_UNSPECIFIED) {
+      Report(fmt::format("{}.kind", aField), "must be LOOKUP, BULK or ORDER");
+    }
+    if (aPolicy.priority() > kMaxPriority) {
+      Report(fmt::format("{}.priority", aField), "must be 0 to 9");
+    }
+    if (aPolicy.deadline_ms() == 0 || aPolicy.deadline_ms() > kMaxDeadlineMs) {
+      Report(fmt::format("{}.deadline_ms", aField), "must be 1 to 600000");
+    }
+    if (aPolicy.attempt_budget() == 0 ||
+        aPolicy.attempt_budget() > kMaxAttemptBudget) {
+      Report(fmt::format("{}.attempt_budget", aField), "must be 1 to 1000");
+    }
+    if (aPolicy.kind() == wagtailbend::ORDER && aPolicy.idempotent()) {
+      Report(fmt::format("{}.idempotent", aField),
+             "an ORDER runs at most once and cannot be idempotent");
+    }
+    if (aPolicy.kind() == wagtailbend::ORDER && aMethod.server_streaming()) {
+      Report(aField, "an ORDER cannot have a streamed answer");
+    }
+    if (aMethod.client_streaming()) {
+      Report(aField, "streamed requests are not supported");
+    }
+  }
+
+  void CheckCalls()
+  {
+    std::map<std::string, Method*> byPath;
+    for (Method& method : m_methods) {
+      byPath[method.path] = &method;
+    }
+    std::map<std::string, uint32_t> minimum;
+    std::vector<std::string> stack;
+    std::function<uint32_t(Method&)> visit = [&](Method& aMethod) -> uint32_t {
+      const auto known = minimum.find(aMethod.path);
+      if (known != minimum.end()) {
+        return known->second;
+      }
+      if (std::find(stack.begin(), stack.end(), aMethod.path) != stack.end()) {
+        Report(aMethod.path.substr(1), "calls itself, directly or indirectly");
+        return 1;
+      }
+      if (stack.size() >= kMaxCallDepth) {
+        Report(aMethod.path.substr(1), "the call chain is deeper than 14");
+        return 1;
+      }
+      stack.push_back(aMethod.path);
+      uint32_t total = 1;
+      for (const std::string& call : aMethod.calls) {
+        const auto callee = byPath.find(call);
+        if (callee == byPath.end()) {
+          Report(fmt::format("{}.calls", aMethod.path.substr(1)),
+                 fmt::format("\"{}\" is not declared", call.substr(1)));
+          continue;
+        }
+        total += visit(*callee->second);
+      }
+      stack.pop_back();
+      minimum[aMethod.path] = total;
+      return total;
+    };
+    for (Method& method : m_methods) {
+      method.minimumAttempts = visit(method);
+      if (method.attemptBudget >= method.minimumAttempts) {
+        continue;
+      }
+      Report(fmt::format("{}.attempt_budget", method.path.substr(1)),
+             fmt::format("must be at least {}, the number of calls of one run",
+                         method.minimumAttempts));
+    }
+  }
+
+  Problems& m_problems;
+  std::string m_file;
+  std::string m_deployment;
+  std::vector<FailureDomain> m_domains;
+  uint64_t m_crossRegionBitsPerSecond = 0;
+  std::vector<Service> m_services;
+  std::vector<Method> m_methods;
+};
+
+Error
+MakeError(const Problems& aProblems)
+{
+  return Error{ ErrorKind::kInvalidRequest,
+                fmt::format("{}", fmt::join(aProblems, "\n")) };
+}
+
+void
+CollectFiles(const pb::FileDescriptor& aFile,
+             std::set<std::string>& aSeen,
+             pb::FileDescriptorSet& aSet)
+{
+  if (!aSeen.insert(aFile.name()).second) {
+    return;
+  }
+  for (int i = 0; i < aFile.dependency_count(); ++i) {
+    CollectFiles(*aFile.dependency(i), aSeen, aSet);
+  }
+  aFile.CopyTo(aSet.add_file());
+}
+
+Result<Schema>
+BuildSchema(const pb::FileDescriptorSet& aSet)
+{
+  Problems problems;
+  Builder builder(problems);
+  for (const auto& file : aSet.file()) {
+    if (file.service_size() > 0 ||
+        Reparse(file.options()).HasExtension(wagtailbend::deployment)) {
+      builder.AddFile(file);
+    }
+  }
+  Schema schema = builder.Build();
+  if (!problems.empty()) {
+    return MakeError(problems);
+  }
+  return schema;
+}
+
+} // namespace
+
+Result<Schema>
+ParseSchema(std::string_view aDescriptorSet)
+{
+  pb::FileDescriptorSet set;
+  if (!set.ParseFromArray(aDescriptorSet.data(),
+                          static_cast<int>(aDescriptorSet.size()))) {
+    return Error{ ErrorKind::kInvalidRequest,
+                  "the schema is not a serialized FileDescriptorSet" };
+  }
+  return BuildSchema(set);
+}
+
+Result<CompiledSchema>
+CompileSchemaFile(const std::string& aPath,
+                  const std::vector<std::string>& aImportPaths)
+{
+  const std::filesystem::path path(aPath);
+  Problems problems;
+  if (!std::filesystem::is_regular_file(path)) {
+    return Error{ ErrorKind::kInvalidRequest,
+                  fmt::format("{}: file: cannot be read", aPath) };
+  }
+  BuiltInSourceTree tree;
+  const std::filesystem::path folder = path.parent_path();
+  tree.MapPath("", folder.empty() ? "." : folder.string());
+  for (const std::string& import : aImportPaths) {
+    tree.MapPath("", import);
+  }
+  ErrorCollector collector(problems);
+  pb::compiler::Importer importer(&tree, &collector);
+  const pb::FileDescriptor* file = importer.Import(path.filename().string());
+  if (!file) {
+    return MakeError(problems);
+  }
+  pb::FileDescriptorSet set;
+  std::set<std::string> seen;
+  CollectFiles(*file, seen, set);
+  Result<Schema> schema = BuildSchema(set);
+  if (const Error* error = GetError(schema)) {
+    return *error;
+  }
+  return CompiledSchema{ TakeValue(std::move(schema)),
+                         set.SerializeAsString() };
+}
+
+} // namespace wagtailbend::schema
