Add daemon settings, logs, metrics, traces and the span exporter

Cause: the daemon needs checked settings and observable behaviour before the request path is wired. Ruled out: reading settings field by field by hand; a table of member pointers also feeds the documentation. Change: settings with all problems reported at once, key=value events through log4cplus, counters and Boost.Histogram durations as text, W3C trace context and an OTLP/HTTP JSON exporter that drops rather than waits. Conclusion: the request path can use them.

--- /dev/null
+++ b/wagtailbend/observability/otlp_exporter.h
@@ -0,0 +1,50 @@
+// Sends spans in batches to an OTLP/HTTP receiver from its own thread.
+//
+//   OtlpExporter exporter("http://127.0.0.1:4318", "balances-1");
+//   exporter.Export(std::move(span));
+
+#pragma once
+
+#include <atomic>
+#include <condition_variable>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "wagtailbend/observability/trace.h"
+
+namespace wagtailbend::observability {
+
+/// Thread-safe. Spans are dropped and counted when the receiver is too slow or
+/// away, so that tracing never delays or grows the daemon.
+class OtlpExporter : public SpanSink
+{
+public:
+  /// Precondition: aBaseUrl starts with "http://". Posts to "/v1/traces".
+  OtlpExporter(std::string aBaseUrl, std::string aServiceName);
+  /// Sends what is queued, within the connection timeout.
+  ~OtlpExporter() override;
+  OtlpExporter(const OtlpExporter&) = delete;
+  OtlpExporter& operator=(const OtlpExporter&) = delete;
+
+  void Export(Span aSpan) override;
+  uint64_t DroppedSpans() const { return m_dropped.load(); }
+  uint64_t SentSpans() const { return m_sent.load(); }
+
+private:
+  void Run();
+  void Send(const std::vector<Span>& aBatch);
+
+  const std::string m_baseUrl;
+  const std::string m_serviceName;
+  std::mutex m_mutex;
+  std::condition_variable m_changed;
+  std::vector<Span> m_queue;
+  bool m_stopping = false;
+  std::atomic<uint64_t> m_dropped{ 0 };
+  std::atomic<uint64_t> m_sent{ 0 };
+  std::thread m_thread;
+};
+
+} // namespace wagtailbend::observability
