--- /dev/null
+++ b/wagtailbend/load/load_test.cc
@@ -0,0 +1,91 @@
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+#include "wagtailbend/load/load_plan.h"
+#include "wagtailbend/load/message_factory.h"
+#include "wagtailbend/load/recorder.h"
+
+namespace wagtailbend::load {
+namespace {
+
+using namespace std::chrono_literals;
+
+schema::CompiledSchema
+Association()
+{
+  return TakeValue(schema::CompileSchemaFile(
+    std::string(WB_SOURCE_DIR) + "/schemas/association.proto", {}));
+}
+
+TEST(LoadPlanTest, ArrivalsFollowTheRateOfEachPhase)
+{
+  const auto phases = ParsePhases("base:10:1,over:10:3");
+  ASSERT_TRUE(IsOk(phases));
+  const auto mix =
+    ParseMix("association.Balances/Check=3,association.Payouts/Order=1",
+             Association().schema);
+  ASSERT_TRUE(IsOk(mix));
+  Rng rng(1);
+  const auto arrivals = PlanArrivals(GetValue(phases), GetValue(mix), 100, rng);
+  const auto inBase =
+    std::count_if(arrivals.begin(),
+                  arrivals.end(),
+                  [](const Arrival& aArrival) { return aArrival.at < 10s; });
+  EXPECT_NEAR(static_cast<double>(inBase), 1000, 100);
+  EXPECT_NEAR(static_cast<double>(arrivals.size()), 4000, 200);
+  EXPECT_TRUE(std::is_sorted(arrivals.begin(),
+                             arrivals.end(),
+                             [](const auto& aLeft, const auto& aRight) {
+                               return aLeft.at < aRight.at;
+                             }));
+}
+
+TEST(LoadPlanTest, BadTextIsRefusedWithThePart)
+{
+  for (const char* text :
+       { "", "base", "base:0:1", "base:1:x", "a:1:1,a:1:1" }) {
+    EXPECT_FALSE(IsOk(ParsePhases(text))) << text;
+  }
+  const schema::Schema schema = Association().schema;
+  for (const char* text :
+       { "", "no.Such/Method", "association.Balances/Check=-1" }) {
+    EXPECT_FALSE(IsOk(ParseMix(text, schema))) << text;
+  }
+}
+
+// Guards against a load run that does not see a response of someone else, a
+// missing page, or an empty response.
+TEST(MessageFactoryTest, ForeignAndShortResponsesAreFound)
+{
+  MessageFactory factory(Association().descriptorSet);
+  const std::string path = "/association.Settlements/Lookup";
+  const std::string own = factory.MakeRequest(path, "trip-1");
+  EXPECT_TRUE(factory.IsOwnResponse(path, "trip-1", { own }));
+  EXPECT_FALSE(factory.IsOwnResponse(path, "trip-2", { own }));
+  EXPECT_FALSE(factory.IsOwnResponse(path, "trip-1", {}));
+  EXPECT_FALSE(factory.IsOwnResponse(path, "trip-1", { "\xff" }));
+  // A request of season 1 has the layout of page 1.
+  const std::string download = "/association.Ledgers/Download";
+  const std::string page = factory.MakeRequest(download, "v");
+  EXPECT_FALSE(factory.IsOwnResponse(download, "v", { page }));
+}
+
+TEST(RecorderTest, RecoveryIsMeasuredFromTheEndOfThePhase)
+{
+  const std::vector<Phase> phases = { { "base", 2s, 1 },
+                                      { "over", 1s, 3 },
+                                      { "after", 5s, 1 } };
+  Recorder recorder(phases, { { schema::Method{}, 1 } });
+  for (int i = 0; i < 800; ++i) {
+    const Duration at = i * 10ms;
+    const bool lost = at >= 2s && at < 4s;
+    recorder.Record(
+      { { at, 0 }, 0ms, lost ? Verdict::kNotRun : Verdict::kWhole });
+  }
+  EXPECT_DOUBLE_EQ(recorder.Goodput(0), 100);
+  EXPECT_EQ(recorder.RecoveryAfter(1), Duration(1s));
+  EXPECT_EQ(recorder.Count(Verdict::kNotRun), 200U);
+}
+
+} // namespace
+} // namespace wagtailbend::load
