Add the request path: filters, response checks, daemon and fake target

Cause: no process carried a request from a customer to a target.

Ruled out: a lock around the whole state of a request. Every step of a request starts the next one, and a hold on the client stream delays its end until a read has failed, so only OnCancel runs concurrently.

TargetChooser, AttemptPolicy and AdmissionGate are the seams for routing, attempts and admission.

--- /dev/null
+++ b/testing/deployment.cc
@@ -0,0 +1,170 @@
+#include "testing/deployment.h"
+
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+namespace wagtailbend::testing {
+namespace {
+
+constexpr auto kStartLimit = std::chrono::seconds(10);
+
+} // namespace
+
+Deployment::Deployment(const std::string& aSchema, std::vector<VmPlan> aPlans)
+  : m_schema(std::string(WB_SOURCE_DIR) + "/schemas/" + aSchema + ".proto")
+{
+  std::string pattern =
+    (std::filesystem::temp_directory_path() / "wagtailbend-XXXXXX").string();
+  m_folder = mkdtemp(pattern.data());
+  for (VmPlan& plan : aPlans) {
+    Vm& vm = m_vms.emplace_back();
+    vm.plan = std::move(plan);
+    vm.name = "vm" + std::to_string(m_vms.size());
+    for (auto* address : { &vm.customer,
+                           &vm.peer,
+                           &vm.egress,
+                           &vm.http,
+                           &vm.target,
+                           &vm.targetHttp }) {
+      *address = FreeAddress();
+    }
+  }
+}
+
+Deployment::~Deployment()
+{
+  m_vms.clear();
+  std::error_code ignored;
+  std::filesystem::remove_all(m_folder, ignored);
+}
+
+void
+Deployment::StartDaemon(size_t aIndex)
+{
+  Vm& vm = m_vms[aIndex];
+  nlohmann::json settings = {
+    { "name", vm.name },
+    { "failure_domain",
+      m_schema.ends_with("vukovic.proto") ? "zagreb" : "ranong" },
+    { "listen",
+      { { "customer", vm.customer },
+        { "peer", vm.peer },
+        { "egress", vm.egress },
+        { "admin", FreeAddress() },
+        { "gossip", FreeAddress() },
+        { "http", vm.http } } },
+    { "schema_file", m_schema },
+  };
+  std::string file = m_folder + "/" + vm.name + ".json";
+  std::ofstream(file) << settings.dump();
+  std::vector<std::string> command = { std::string(WB_BIN_DIR) + "/wagtaild",
+                                       "--settings",
+                                       file };
+  for (const Vm& other : m_vms) {
+    if (&other != &vm) {
+      command.insert(command.end(), { "--seed-http", other.http });
+    }
+  }
+  vm.daemon = std::make_unique<Process>(std::move(command));
+}
+
+void
+Deployment::StartTarget(size_t aIndex)
+{
+  Vm& vm = m_vms[aIndex];
+  std::vector<std::string> command = { std::string(WB_BIN_DIR) +
+                                         "/wagtail-fake-target",
+                                       "--schema",
+                                       m_schema,
+                                       "--service",
+                                       vm.plan.service,
+                                       "--address",
+                                       vm.target,
+                                       "--http",
+                                       vm.targetHttp,
+                                       "--daemon",
+                                       vm.http,
+                                       "--egress",
+                                       vm.egress };
+  command.insert(command.end(),
+                 vm.plan.targetArguments.begin(),
+                 vm.plan.targetArguments.end());
+  vm.targetProcess = std::make_unique<Process>(std::move(command));
+}
+
+bool
+Deployment::Start()
+{
+  size_t targets = 0;
+  for (size_t i = 0; i < m_vms.size(); ++i) {
+    StartDaemon(i);
+    if (!m_vms[i].plan.service.empty()) {
+      StartTarget(i);
+      ++targets;
+    }
+  }
+  for (Vm& vm : m_vms) {
+    if (!vm.daemon->WaitForLine("event=ready", kStartLimit) ||
+        (vm.targetProcess &&
+         !vm.targetProcess->WaitForLine("event=ready", kStartLimit))) {
+      return false;
+    }
+  }
+  return WaitForTargets(targets, kStartLimit);
+}
+
+std::string
+Deployment::Page(size_t aIndex, const std::string& aPath)
+{
+  httplib::Client client("http://" + m_vms[aIndex].http);
+  client.set_connection_timeout(1, 0);
+  client.set_read_timeout(1, 0);
+  auto reply = client.Get(aPath);
+  return reply && reply->status == 200 ? reply->body : "";
+}
+
+bool
+Deployment::SetFault(size_t aIndex, const std::string& aJson)
+{
+  httplib::Client client("http://" + m_vms[aIndex].targetHttp);
+  auto reply = client.Post("/fault", aJson, "application/json");
+  return reply && reply->status == 200;
+}
+
+bool
+Deployment::WaitForTargets(size_t aCount, std::chrono::milliseconds aLimit)
+{
+  auto end = std::chrono::steady_clock::now() + aLimit;
+  for (size_t i = 0; i < m_vms.size();) {
+    if (m_vms[i].daemon->Wait(std::chrono::milliseconds(0))) {
+      ++i;
+      continue;
+    }
+    auto status = nlohmann::json::parse(Page(i, "/status"), nullptr, false);
+    size_t seen = 0;
+    auto runs = [](const nlohmann::json& aJson) -> size_t {
+      return aJson["service"].get<std::string>().empty() ? 0 : 1;
+    };
+    if (status.is_object()) {
+      seen = runs(status);
+      for (const auto& peer : status["peers"]) {
+        seen += runs(peer);
+      }
+    }
+    if (seen == aCount) {
+      ++i;
+      continue;
+    }
+    if (std::chrono::steady_clock::now() > end) {
+      return false;
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  }
+  return true;
+}
+
+} // namespace wagtailbend::testing
--- /dev/null
+++ b/testing/deployment.h
@@ -0,0 +1,70 @@
+// A deployment of real processes on loopback: one daemon and one fake target
+// for each VM.
+//
+//   Deployment deployment("association", { { "association.Balances" } });
+//   ASSERT_TRUE(deployment.Start());
+//   Caller caller(deployment.At(0).customer);
+
+#pragma once
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "testing/process.h"
+
+namespace wagtailbend::testing {
+
+/// What a VM runs.
+struct VmPlan
+{
+  /// Full service name of the target; "" for a daemon without a target.
+  std::string service;
+  /// More arguments of wagtail-fake-target.
+  std::vector<std::string> targetArguments;
+};
+
+struct Vm
+{
+  VmPlan plan;
+  std::string name;
+  std::string customer;
+  std::string peer;
+  std::string egress;
+  std::string http;
+  std::string target;
+  std::string targetHttp;
+  std::unique_ptr<Process> daemon;
+  std::unique_ptr<Process> targetProcess;
+};
+
+class Deployment
+{
+public:
+  /// aSchema is "association" or "vukovic".
+  Deployment(const std::string& aSchema, std::vector<VmPlan> aPlans);
+  ~Deployment();
+
+  /// Starts all processes and waits until every daemon knows every target.
+  /// Returns false after 20 s.
+  bool Start();
+  Vm& At(size_t aIndex) { return m_vms[aIndex]; }
+  /// Posts aJson to the fault switch of the target. Returns false on failure.
+  bool SetFault(size_t aIndex, const std::string& aJson);
+  /// Returns the body of a page of the daemon; "" on failure.
+  std::string Page(size_t aIndex, const std::string& aPath);
+  /// Waits until every running daemon sees aCount targets, its own included.
+  bool WaitForTargets(size_t aCount, std::chrono::milliseconds aLimit);
+  /// Starts the target of a VM, again if it had ended.
+  void StartTarget(size_t aIndex);
+  const std::string& Folder() const { return m_folder; }
+
+private:
+  void StartDaemon(size_t aIndex);
+
+  std::string m_schema;
+  std::string m_folder;
+  std::vector<Vm> m_vms;
+};
+
+} // namespace wagtailbend::testing
--- /dev/null
+++ b/wagtailbend/daemon/bridge.cc
@@ -0,0 +1,344 @@
+#include "wagtailbend/daemon/bridge.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <fmt/format.h>
+#include <xxhash.h>
+
+#include "wagtailbend/daemon/metadata.h"
+
+namespace wagtailbend::daemon {
+namespace {
+
+Rng&
+ThreadRng()
+{
+  thread_local Rng rng = MakeSeededRng();
+  return rng;
+}
+
+/// Calls aVisit with each contiguous part of aBuffer.
+template<typename Visit>
+void
+ForEachPart(const grpc::ByteBuffer& aBuffer, Visit aVisit)
+{
+  std::vector<grpc::Slice> slices;
+  if (!aBuffer.Dump(&slices).ok()) {
+    return;
+  }
+  for (const grpc::Slice& slice : slices) {
+    aVisit(std::string_view(reinterpret_cast<const char*>(slice.begin()),
+                            slice.size()));
+  }
+}
+
+uint64_t
+HashOf(const grpc::ByteBuffer& aPayload)
+{
+  uint64_t hash = 0;
+  ForEachPart(aPayload, [&hash](std::string_view aPart) {
+    hash = XXH64(aPart.data(), aPart.size(), hash);
+  });
+  return hash;
+}
+
+TimePoint
+DeadlineOf(const grpc::GenericCallbackServerContext& aContext, TimePoint aNow)
+{
+  auto deadline = aContext.deadline();
+  // Without a deadline of the caller's own the schema's applies.
+  if (deadline == std::chrono::system_clock::time_point::max()) {
+    return aNow + std::chrono::hours(24);
+  }
+  return aNow + std::chrono::duration_cast<Duration>(
+                  deadline - std::chrono::system_clock::now());
+}
+
+} // namespace
+
+Bridge::Bridge(Traffic& aTraffic,
+               filters::Origin aOrigin,
+               grpc::GenericCallbackServerContext& aServerContext)
+  : m_traffic(aTraffic)
+  , m_serverContext(aServerContext)
+  , m_snapshot(aTraffic.snapshots.Load())
+  , m_schema(m_snapshot->schema)
+{
+  m_context.origin = aOrigin;
+  m_context.arrival = MonotonicNow();
+  m_context.deadline = DeadlineOf(aServerContext, m_context.arrival);
+  auto origin = static_cast<size_t>(aOrigin);
+  m_traffic.counters.inFlight[origin].fetch_add(1);
+  m_traffic.counters.requests[origin].fetch_add(1, std::memory_order_relaxed);
+  ReadMetadata();
+  StartRead(&m_request);
+}
+
+void
+Bridge::ReadMetadata()
+{
+  const MetadataMap& metadata = m_serverContext.client_metadata();
+  auto text = [&metadata](const char* aKey) {
+    return FindMetadata(metadata, aKey);
+  };
+  auto requestId = RequestId::Parse(text(kRequestIdKey));
+  m_context.requestId = requestId ? *requestId : RequestId::Random(ThreadRng());
+  auto attemptId = AttemptId::Parse(text(kAttemptIdKey));
+  m_context.attemptId = attemptId ? *attemptId : AttemptId::Random(ThreadRng());
+  m_context.parent = RequestId::Parse(text(kParentKey));
+  m_context.ticket = text(kTicketKey);
+  m_context.orderKey = text(kOrderKeyKey);
+  m_context.traceParent = text(kTraceParentKey);
+  if (m_schema) {
+    m_context.method = m_schema->FindMethod(m_serverContext.method());
+  }
+  if (!m_context.method) {
+    return;
+  }
+  m_context.priority = m_context.method->priority;
+  if (m_context.origin == filters::Origin::kPeer) {
+    m_context.priority =
+      std::min(ParseNumber(text(kPriorityKey), m_context.priority),
+               schema::kMaxPriority);
+    std::string_view allotted = text(kAttemptsKey);
+    if (!allotted.empty()) {
+      m_allotted = ParseNumber(allotted, 0);
+    }
+  }
+}
+
+void
+Bridge::OnReadDone(bool aOk)
+{
+  auto reject = [this](ErrorKind aKind, std::string aDetail) {
+    FinishWithError(
+      { aKind, std::move(aDetail) }, AnswerFor(aKind).runState, nullptr);
+  };
+  if (!aOk) {
+    reject(ErrorKind::kInvalidRequest, "no request message");
+    return;
+  }
+  if (!m_schema) {
+    reject(ErrorKind::kNoConfiguration, "no schema in force");
+    return;
+  }
+  if (!m_context.method) {
+    reject(ErrorKind::kUnknownMethod, m_serverContext.method());
+    return;
+  }
+  const schema::Service* service =
+    m_schema->FindService(m_context.method->service);
+  if (m_context.origin == filters::Origin::kCustomer && service->internal) {
+    reject(ErrorKind::kUnknownMethod, "internal service");
+    return;
+  }
+  // The own target may still make the downstream calls of its running work.
+  if (m_snapshot->draining && m_context.origin != filters::Origin::kTarget) {
+    reject(ErrorKind::kDraining, "this daemon is leaving");
+    return;
+  }
+  RunFilters();
+}
+
+void
+Bridge::RunFilters()
+{
+  m_context.payloadHash = HashOf(m_request);
+  m_traffic.attempts->Open(m_context, m_allotted);
+  auto& chain = m_traffic.chains[static_cast<size_t>(m_context.origin)];
+  auto error = chain.OnRequest(m_context, m_context.arrival, m_filtersEntered);
+  if (error) {
+    RunState run = AnswerFor(error->kind).runState;
+    FinishWithError(std::move(*error), run, nullptr);
+    return;
+  }
+  if (m_context.origin != filters::Origin::kPeer || !m_traffic.gate) {
+    StartAttempt();
+    return;
+  }
+  m_traffic.gate->Enter(
+    m_context, m_context.arrival, [this](std::optional<Error> aError) {
+      OnAdmitted(std::move(aError));
+    });
+}
+
+void
+Bridge::OnAdmitted(std::optional<Error> aError)
+{
+  if (aError) {
+    RunState run = AnswerFor(aError->kind).runState;
+    FinishWithError(std::move(*aError), run, nullptr);
+    return;
+  }
+  m_admitted = true;
+  StartAttempt();
+}
+
+void
+Bridge::StartAttempt()
+{
+  TimePoint now = MonotonicNow();
+  m_destination = m_traffic.chooser->Choose(
+    m_context, *m_snapshot, m_tried, now, ThreadRng());
+  if (!m_destination) {
+    FinishWithError({ ErrorKind::kNoTarget, m_context.method->service },
+                    m_mayHaveRun ? RunState::kMayHaveRun : RunState::kNotRun,
+                    nullptr);
+    return;
+  }
+  std::optional<uint32_t> allotted = m_traffic.attempts->Draw(m_context);
+  if (!allotted) {
+    FinishWithError(
+      { ErrorKind::kAttemptsExhausted, "" }, RunState::kNotRun, nullptr);
+    return;
+  }
+  m_attemptId = m_context.origin == filters::Origin::kPeer
+                  ? m_context.attemptId
+                  : AttemptId::Random(ThreadRng());
+  m_attemptStart = now;
+  m_attemptError.reset();
+  m_tried.push_back(m_destination->daemon);
+  m_verifier.emplace(m_context.requestId,
+                     m_attemptId,
+                     m_context.method->serverStreaming,
+                     m_traffic.progressBound,
+                     now);
+  m_traffic.counters.attempts.fetch_add(1, std::memory_order_relaxed);
+  m_traffic.chooser->OnStart(*m_destination, now);
+  auto attempt =
+    m_traffic.transport->Prepare(MakeAttemptRequest(*allotted), *this);
+  if (Publish(attempt)) {
+    attempt->Cancel();
+  }
+  attempt->Begin();
+}
+
+AttemptRequest
+Bridge::MakeAttemptRequest(uint32_t aAllotted)
+{
+  const schema::Method& method = *m_context.method;
+  AttemptRequest request;
+  request.link = m_destination->link;
+  request.work =
+    method.kind == schema::Kind::kBulk ? WorkClass::kBulk : WorkClass::kShort;
+  request.method = method.path;
+  request.streamed = method.serverStreaming;
+  request.payload = m_request;
+  request.progressBound = m_traffic.progressBound;
+  request.deadline =
+    std::chrono::system_clock::now() +
+    std::chrono::duration_cast<std::chrono::system_clock::duration>(
+      m_context.deadline - m_attemptStart);
+  auto& metadata = request.metadata;
+  metadata.reserve(8);
+  metadata.emplace_back(kRequestIdKey, m_context.requestId.ToString());
+  metadata.emplace_back(kAttemptIdKey, m_attemptId.ToString());
+  metadata.emplace_back(kAttemptsKey, fmt::format_int(aAllotted).str());
+  metadata.emplace_back(kPriorityKey,
+                        fmt::format_int(m_context.priority).str());
+  if (!m_destination->own) {
+    metadata.emplace_back(kIncarnationKey,
+                          ToHex(m_destination->daemon.incarnation));
+  }
+  if (!m_context.ticket.empty()) {
+    metadata.emplace_back(kTicketKey, m_context.ticket);
+  }
+  if (!m_context.orderKey.empty()) {
+    metadata.emplace_back(kOrderKeyKey, m_context.orderKey);
+  }
+  if (!m_context.traceParent.empty()) {
+    metadata.emplace_back(kTraceParentKey, m_context.traceParent);
+  }
+  return request;
+}
+
+// Makes the attempt visible to OnCancel. Returns true if the caller has
+// cancelled already.
+bool
+Bridge::Publish(const std::shared_ptr<Attempt>& aAttempt)
+{
+  std::lock_guard lock(m_attemptMutex);
+  m_attempt = aAttempt;
+  return m_cancelled.load();
+}
+
+void
+Bridge::OnCancel()
+{
+  std::shared_ptr<Attempt> attempt;
+  {
+    std::lock_guard lock(m_attemptMutex);
+    m_cancelled.store(true);
+    attempt = m_attempt;
+  }
+  if (attempt) {
+    attempt->Cancel();
+  }
+}
+
+void
+Bridge::OnDone()
+{
+  auto origin = static_cast<size_t>(m_context.origin);
+  auto& inFlight = m_traffic.counters.inFlight[origin];
+  delete this;
+  inFlight.fetch_sub(1);
+}
+
+void
+Bridge::OnIds(const EchoedIds& aIds)
+{
+  m_attemptError = m_verifier->OnIds(aIds.requestId, aIds.attemptId);
+}
+
+void
+Bridge::OnFrame(grpc::ByteBuffer&& aFrame)
+{
+  if (!m_attemptError) {
+    m_attemptError = m_verifier->OnFrame(aFrame.Length(), MonotonicNow());
+  }
+  bool streamed = m_context.method->serverStreaming;
+  if (m_attemptError || m_cancelled.load()) {
+    // Frames of a rejected response are read and dropped until it ends.
+    if (streamed) {
+      m_attempt->Cancel();
+      m_attempt->ReadNext();
+    }
+    return;
+  }
+  m_response.Swap(&aFrame);
+  m_responseBytes += m_response.Length();
+  if (!streamed) {
+    return;
+  }
+  ForEachPart(m_response, [this](std::string_view aPart) {
+    m_verifier->OnFrameBytes(aPart);
+  });
+  SendIds();
+  m_framePassedOn = true;
+  StartWrite(&m_response);
+}
+
+void
+Bridge::OnWriteDone(bool aOk)
+{
+  if (!aOk) {
+    m_attempt->Cancel();
+  }
+  m_attempt->ReadNext();
+}
+
+void
+Bridge::SendIds()
+{
+  if (m_framePassedOn) {
+    return;
+  }
+  m_serverContext.AddInitialMetadata(kRequestIdKey,
+                                     m_context.requestId.ToString());
+  m_serverContext.AddInitialMetadata(kAttemptIdKey,
+                                     m_context.attemptId.ToString());
+}
+
+} // namespace wagtailbend::daemon
--- /dev/null
+++ b/wagtailbend/daemon/bridge.h
@@ -0,0 +1,91 @@
+// One request at one daemon: pairs the caller's gRPC call with the attempts
+// that answer it. Payloads pass through as byte buffers.
+//
+//   grpc::ServerGenericBidiReactor* reactor =
+//     Bridge::Create(traffic, filters::Origin::kCustomer, aContext);
+
+#pragma once
+
+#include <atomic>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <vector>
+
+#include <grpcpp/generic/async_generic_service.h>
+
+#include "wagtailbend/answers/response_verifier.h"
+#include "wagtailbend/daemon/traffic.h"
+
+namespace wagtailbend::daemon {
+
+/// Deletes itself after the call has ended. The callbacks of the caller's call
+/// and of the attempt never overlap, because each step starts the next one;
+/// only OnCancel may run at any time.
+class Bridge final
+  : public grpc::ServerGenericBidiReactor
+  , private AttemptObserver
+{
+public:
+  Bridge(Traffic& aTraffic,
+         filters::Origin aOrigin,
+         grpc::GenericCallbackServerContext& aServerContext);
+
+  void OnReadDone(bool aOk) override;
+  void OnWriteDone(bool aOk) override;
+  void OnCancel() override;
+  void OnDone() override;
+
+private:
+  void OnIds(const EchoedIds& aIds) override;
+  void OnFrame(grpc::ByteBuffer&& aFrame) override;
+  void OnEnd(const AttemptEnd& aEnd) override;
+
+  void ReadMetadata();
+  void RunFilters();
+  void OnAdmitted(std::optional<Error> aError);
+  void StartAttempt();
+  AttemptRequest MakeAttemptRequest(uint32_t aAllotted);
+  bool Publish(const std::shared_ptr<Attempt>& aAttempt);
+  std::optional<Error> ErrorOf(const AttemptEnd& aEnd, RunState& aRun);
+  bool MayRetry(const Error& aError, RunState aRun) const;
+  void FailAttempt(Error aError, RunState aRun, const AttemptEnd& aEnd);
+  void FinishWithError(Error aError,
+                       RunState aRun,
+                       const grpc::Status* aStatus);
+  void FinishComplete(const AttemptEnd& aEnd);
+  void SendIds();
+  void Leave(const filters::Outcome& aOutcome);
+
+  Traffic& m_traffic;
+  grpc::GenericCallbackServerContext& m_serverContext;
+  std::shared_ptr<const RoutingSnapshot> m_snapshot;
+  // Keeps m_context.method valid when a retry takes a newer snapshot.
+  std::shared_ptr<const schema::Schema> m_schema;
+  filters::RequestContext m_context;
+  size_t m_filtersEntered = 0;
+  bool m_admitted = false;
+  std::optional<uint32_t> m_allotted;
+  grpc::ByteBuffer m_request;
+  grpc::ByteBuffer m_response;
+
+  // The current attempt.
+  const Destination* m_destination = nullptr;
+  AttemptId m_attemptId;
+  TimePoint m_attemptStart;
+  std::optional<answers::ResponseVerifier> m_verifier;
+  std::optional<Error> m_attemptError;
+  std::vector<DaemonId> m_tried;
+  bool m_framePassedOn = false;
+  // An earlier attempt may have run the request.
+  bool m_mayHaveRun = false;
+  uint64_t m_responseBytes = 0;
+
+  std::atomic<bool> m_cancelled{ false };
+  // Guards m_attempt against OnCancel; never held while gRPC is called with
+  // the chance of a callback on the same thread.
+  std::mutex m_attemptMutex;
+  std::shared_ptr<Attempt> m_attempt;
+};
+
+} // namespace wagtailbend::daemon
--- /dev/null
+++ b/wagtailbend/daemon/bridge_end.cc
@@ -0,0 +1,188 @@
+// The part of Bridge that decides how an attempt and the request end.
+
+#include <utility>
+
+#include <fmt/format.h>
+
+#include "wagtailbend/daemon/bridge.h"
+#include "wagtailbend/daemon/metadata.h"
+
+namespace wagtailbend::daemon {
+namespace {
+
+/// Returns the kind of a failure that only gRPC reported.
+ErrorKind
+KindOfTransport(const grpc::Status& aStatus)
+{
+  switch (aStatus.error_code()) {
+    case grpc::StatusCode::DEADLINE_EXCEEDED:
+      return ErrorKind::kDeadlineExceeded;
+    case grpc::StatusCode::UNIMPLEMENTED:
+      return ErrorKind::kUnknownMethod;
+    default:
+      return ErrorKind::kConnectionLost;
+  }
+}
+
+/// A rejected response leaves nothing to report but the kind of failure.
+Error
+TransportError(const AttemptEnd& aEnd)
+{
+  return { KindOfTransport(aEnd.status), aEnd.status.error_message() };
+}
+
+} // namespace
+
+// Returns how the attempt failed, or nullopt if its response is complete.
+std::optional<Error>
+Bridge::ErrorOf(const AttemptEnd& aEnd, RunState& aRun)
+{
+  aRun = RunState::kMayHaveRun;
+  if (m_cancelled.load()) {
+    return Error{ ErrorKind::kCancelled, "cancelled by the caller" };
+  }
+  if (aEnd.silent) {
+    return Error{ ErrorKind::kConnectionLost, "no progress" };
+  }
+  if (m_attemptError) {
+    return m_attemptError;
+  }
+  if (aEnd.status.ok()) {
+    return m_verifier->OnEnd(aEnd.frames, aEnd.checksum);
+  }
+  bool echoed = !aEnd.ids.requestId.empty();
+  if (echoed) {
+    if (auto error =
+          m_verifier->OnIds(aEnd.ids.requestId, aEnd.ids.attemptId)) {
+      return error;
+    }
+  }
+  auto kind = ErrorKindFromName(aEnd.error);
+  if (kind && echoed) {
+    aRun = RunStateFromName(aEnd.run).value_or(AnswerFor(*kind).runState);
+    return Error{ *kind, aEnd.status.error_message() };
+  }
+  // A status of the target's own, with the ids of this attempt.
+  if (echoed) {
+    aRun = RunState::kRan;
+    return Error{ ErrorKind::kTargetFailed, aEnd.status.error_message() };
+  }
+  return TransportError(aEnd);
+}
+
+void
+Bridge::OnEnd(const AttemptEnd& aEnd)
+{
+  RunState run = RunState::kRan;
+  std::optional<Error> error = ErrorOf(aEnd, run);
+  TimePoint now = MonotonicNow();
+  m_traffic.chooser->OnEnd(*m_destination,
+                           { error ? std::optional(error->kind) : std::nullopt,
+                             now - m_attemptStart,
+                             aEnd.threshold },
+                           now);
+  {
+    std::lock_guard lock(m_attemptMutex);
+    m_attempt.reset();
+  }
+  if (error) {
+    FailAttempt(std::move(*error), run, aEnd);
+    return;
+  }
+  FinishComplete(aEnd);
+}
+
+void
+Bridge::FailAttempt(Error aError, RunState aRun, const AttemptEnd& aEnd)
+{
+  if (aError.kind == ErrorKind::kAnswerMismatch) {
+    m_traffic.counters.mismatches.fetch_add(1, std::memory_order_relaxed);
+  }
+  if (aEnd.unreachable && m_traffic.events) {
+    m_traffic.events->OnUnreachable(*m_destination);
+  }
+  m_mayHaveRun = m_mayHaveRun || aRun != RunState::kNotRun;
+  if (MayRetry(aError, aRun)) {
+    m_traffic.counters.retries.fetch_add(1, std::memory_order_relaxed);
+    // Targets that were removed meanwhile are not chosen again.
+    m_snapshot = m_traffic.snapshots.Load();
+    StartAttempt();
+    return;
+  }
+  bool order = m_context.method->kind == schema::Kind::kOrder;
+  if (order && aRun == RunState::kMayHaveRun) {
+    aError.kind = ErrorKind::kOutcomeUnknown;
+  }
+  bool ownStatus = aError.kind == ErrorKind::kTargetFailed;
+  FinishWithError(std::move(aError), aRun, ownStatus ? &aEnd.status : nullptr);
+}
+
+bool
+Bridge::MayRetry(const Error& aError, RunState aRun) const
+{
+  const schema::Method& method = *m_context.method;
+  if (m_context.origin == filters::Origin::kPeer || m_framePassedOn ||
+      m_cancelled.load() || !AnswerFor(aError.kind).retryable) {
+    return false;
+  }
+  if (aRun != RunState::kNotRun &&
+      (method.kind == schema::Kind::kOrder || !method.idempotent)) {
+    return false;
+  }
+  return m_context.attemptsLeft >= method.minimumAttempts &&
+         MonotonicNow() < m_context.deadline;
+}
+
+void
+Bridge::FinishWithError(Error aError,
+                        RunState aRun,
+                        const grpc::Status* aStatus)
+{
+  const ErrorAnswer& answer = AnswerFor(aError.kind);
+  m_traffic.counters.errors[static_cast<size_t>(aError.kind)].fetch_add(
+    1, std::memory_order_relaxed);
+  grpc::Status status = aStatus ? *aStatus : StatusOf(aError);
+  m_serverContext.AddTrailingMetadata(kRequestIdKey,
+                                      m_context.requestId.ToString());
+  m_serverContext.AddTrailingMetadata(kAttemptIdKey,
+                                      m_context.attemptId.ToString());
+  m_serverContext.AddTrailingMetadata(kErrorKey, std::string(answer.name));
+  m_serverContext.AddTrailingMetadata(kRunKey, std::string(RunStateName(aRun)));
+  Leave({ std::move(aError), aRun, status.error_code(), m_responseBytes });
+  Finish(status);
+}
+
+void
+Bridge::FinishComplete(const AttemptEnd& aEnd)
+{
+  m_traffic.counters.completed.fetch_add(1, std::memory_order_relaxed);
+  if (m_context.method->serverStreaming) {
+    m_serverContext.AddTrailingMetadata(kFramesKey, std::string(aEnd.frames));
+    m_serverContext.AddTrailingMetadata(kChecksumKey,
+                                        std::string(aEnd.checksum));
+  }
+  if (!aEnd.threshold.empty()) {
+    m_serverContext.AddTrailingMetadata(kThresholdKey,
+                                        std::string(aEnd.threshold));
+  }
+  Leave({ std::nullopt, RunState::kRan, 0, m_responseBytes });
+  SendIds();
+  if (m_context.method->serverStreaming) {
+    Finish(grpc::Status::OK);
+    return;
+  }
+  StartWriteAndFinish(&m_response, grpc::WriteOptions(), grpc::Status::OK);
+}
+
+void
+Bridge::Leave(const filters::Outcome& aOutcome)
+{
+  TimePoint now = MonotonicNow();
+  if (m_admitted) {
+    m_traffic.gate->Leave(m_context, aOutcome, now);
+  }
+  auto& chain = m_traffic.chains[static_cast<size_t>(m_context.origin)];
+  chain.OnResponse(m_context, aOutcome, now, m_filtersEntered);
+}
+
+} // namespace wagtailbend::daemon
--- /dev/null
+++ b/wagtailbend/daemon/daemon.cc
@@ -0,0 +1,192 @@
+#include "wagtailbend/daemon/daemon.h"
+
+#include <future>
+#include <utility>
+
+#include <asio/post.hpp>
+#include <fmt/format.h>
+#include <grpcpp/security/server_credentials.h>
+#include <grpcpp/server_builder.h>
+
+#include "wagtailbend/daemon/bridge.h"
+#include "wagtailbend/daemon/grpc_transport.h"
+#include "wagtailbend/filters/deadline_filter.h"
+
+namespace wagtailbend::daemon {
+namespace {
+
+// Bounds the memory that one request message can take.
+constexpr int kMaxMessageBytes = 16 << 20;
+// Peers and targets ping each second; gRPC's default would close their
+// connections after two pings without calls.
+constexpr int kMinPingIntervalMs = 500;
+
+} // namespace
+
+/// All methods on one listening address.
+class Daemon::Service final : public grpc::CallbackGenericService
+{
+public:
+  Service(Traffic& aTraffic, filters::Origin aOrigin)
+    : m_traffic(aTraffic)
+    , m_origin(aOrigin)
+  {
+  }
+
+  grpc::ServerGenericBidiReactor* CreateReactor(
+    grpc::GenericCallbackServerContext* aContext) override
+  {
+    return new Bridge(m_traffic, m_origin, *aContext);
+  }
+
+private:
+  Traffic& m_traffic;
+  filters::Origin m_origin;
+};
+
+Daemon::Daemon(DaemonOptions aOptions)
+  : m_options(std::move(aOptions))
+  , m_target(std::chrono::milliseconds(m_options.settings.heartbeatTimeoutMs))
+{
+  Rng rng = MakeSeededRng();
+  m_id = { m_options.settings.name, rng() };
+}
+
+Daemon::~Daemon()
+{
+  // The pages and the servers post to the control thread's context.
+  m_pages.reset();
+  for (auto& server : m_servers) {
+    server->Shutdown(std::chrono::system_clock::now());
+  }
+  m_servers.clear();
+  m_blockingPool.join();
+}
+
+Result<std::unique_ptr<Daemon>>
+Daemon::Start(DaemonOptions aOptions)
+{
+  auto compiled = schema::CompileSchemaFile(aOptions.settings.schemaFile, {});
+  if (const Error* error = GetError(compiled)) {
+    return *error;
+  }
+  std::unique_ptr<Daemon> daemon(new Daemon(std::move(aOptions)));
+  daemon->m_schema = std::make_shared<const schema::Schema>(
+    TakeValue(std::move(compiled)).schema);
+  daemon->WireTraffic();
+  daemon->Publish();
+  if (auto error = daemon->Listen()) {
+    return *error;
+  }
+  return daemon;
+}
+
+void
+Daemon::WireTraffic()
+{
+  m_traffic.transport = std::make_unique<GrpcTransport>();
+  m_traffic.chooser = std::make_unique<PreferOwnChooser>();
+  m_traffic.attempts = std::make_unique<FixedCostPolicy>();
+  m_traffic.events = this;
+  m_traffic.progressBound = m_options.progressBound;
+  // Section 4.1 gives the order of the filters of each address. The trace,
+  // quarantine, budget, threshold and order filters are added here.
+  for (filters::FilterChain& chain : m_traffic.chains) {
+    chain.Add(std::make_unique<filters::DeadlineFilter>(m_options.returnTime));
+  }
+}
+
+std::unique_ptr<grpc::Server>
+Daemon::ListenOn(const std::string& aAddress, filters::Origin aOrigin)
+{
+  auto& service =
+    m_services.emplace_back(std::make_unique<Service>(m_traffic, aOrigin));
+  grpc::ServerBuilder builder;
+  int port = 0;
+  builder.AddListeningPort(aAddress, grpc::InsecureServerCredentials(), &port);
+  builder.RegisterCallbackGenericService(service.get());
+  builder.SetMaxReceiveMessageSize(kMaxMessageBytes);
+  // Another process on the same address must be noticed, not shared with.
+  builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
+  builder.AddChannelArgument(
+    GRPC_ARG_HTTP2_MIN_RECV_PING_INTERVAL_WITHOUT_DATA_MS, kMinPingIntervalMs);
+  builder.AddChannelArgument(GRPC_ARG_KEEPALIVE_PERMIT_WITHOUT_CALLS, 1);
+  builder.AddChannelArgument(GRPC_ARG_HTTP2_MAX_PING_STRIKES, 0);
+  auto server = builder.BuildAndStart();
+  return port == 0 ? nullptr : std::move(server);
+}
+
+std::optional<Error>
+Daemon::Listen()
+{
+  const std::pair<const std::string&, filters::Origin> doors[] = {
+    { m_options.settings.customerAddress, filters::Origin::kCustomer },
+    { m_options.settings.peerAddress, filters::Origin::kPeer },
+    { m_options.settings.egressAddress, filters::Origin::kTarget },
+  };
+  for (const auto& [address, origin] : doors) {
+    auto server = ListenOn(address, origin);
+    if (!server) {
+      return Error{ ErrorKind::kInternal, "cannot listen on " + address };
+    }
+    m_servers.push_back(std::move(server));
+  }
+  m_pages = std::make_unique<HttpPages>(MakeHandlers());
+  return m_pages->Start(m_options.settings.httpAddress);
+}
+
+template<typename Work>
+auto
+Daemon::OnControl(Work aWork) -> decltype(aWork())
+{
+  std::packaged_task<decltype(aWork())()> task(std::move(aWork));
+  auto result = task.get_future();
+  asio::post(m_control, std::move(task));
+  return result.get();
+}
+
+HttpHandlers
+Daemon::MakeHandlers()
+{
+  HttpHandlers handlers;
+  handlers.announce =
+    [this](Announcement aAnnouncement) -> std::optional<Error> {
+    if (!m_schema->FindService(aAnnouncement.service)) {
+      return Error{ ErrorKind::kUnknownMethod, aAnnouncement.service };
+    }
+    std::string host;
+    uint16_t port = 0;
+    if (!settings::ParseAddress(aAnnouncement.address, host, port)) {
+      return Error{ ErrorKind::kInvalidRequest, aAnnouncement.address };
+    }
+    OnControl([&] {
+      if (m_target.Announce(std::move(aAnnouncement), MonotonicNow())) {
+        Publish();
+      }
+    });
+    return std::nullopt;
+  };
+  handlers.heartbeat = [this](double aLoad) -> std::optional<Error> {
+    if (OnControl([&] { return m_target.Heartbeat(aLoad, MonotonicNow()); })) {
+      return std::nullopt;
+    }
+    return Error{ ErrorKind::kNotFound, "announce first" };
+  };
+  handlers.drain = [this] {
+    OnControl([&] {
+      if (m_target.Drain()) {
+        Publish();
+      }
+    });
+  };
+  handlers.metrics = [this] { return MetricsText(); };
+  handlers.status = [this] {
+    return OnControl([&] { return StatusDocument(); });
+  };
+  handlers.self = [this] {
+    return OnControl([&] { return SelfDocument(Self()); });
+  };
+  return handlers;
+}
+
+} // namespace wagtailbend::daemon
--- /dev/null
+++ b/wagtailbend/daemon/policies.cc
@@ -0,0 +1,77 @@
+#include "wagtailbend/daemon/policies.h"
+
+#include <algorithm>
+
+namespace wagtailbend::daemon {
+
+const Destination*
+PreferOwnChooser::Choose(const filters::RequestContext& aContext,
+                         const RoutingSnapshot& aSnapshot,
+                         std::span<const DaemonId> aTried,
+                         TimePoint /*aNow*/,
+                         Rng& aRng)
+{
+  auto tried = [aTried](const Destination& aDestination) {
+    return std::find(aTried.begin(), aTried.end(), aDestination.daemon) !=
+           aTried.end();
+  };
+  const std::string& service = aContext.method->service;
+  const Destination* own =
+    aSnapshot.ownService == service && aSnapshot.ownTarget
+      ? &*aSnapshot.ownTarget
+      : nullptr;
+  if (own && (aContext.origin == filters::Origin::kPeer || !tried(*own))) {
+    return own;
+  }
+  // A peer's request ends here: passing it on again could form a loop.
+  if (aContext.origin == filters::Origin::kPeer) {
+    return nullptr;
+  }
+  auto found = aSnapshot.peers.find(service);
+  if (found == aSnapshot.peers.end() || found->second.empty()) {
+    return own;
+  }
+  const auto& peers = found->second;
+  size_t first = UniformBelow(aRng, peers.size());
+  for (size_t i = 0; i < peers.size(); ++i) {
+    const Destination& peer = peers[(first + i) % peers.size()];
+    if (!tried(peer)) {
+      return &peer;
+    }
+  }
+  return &peers[first];
+}
+
+void
+FixedCostPolicy::Open(filters::RequestContext& aContext,
+                      std::optional<uint32_t> aAllotted)
+{
+  const schema::Method& method = *aContext.method;
+  switch (aContext.origin) {
+    case filters::Origin::kCustomer:
+      aContext.attemptsLeft = method.attemptBudget;
+      return;
+    case filters::Origin::kPeer:
+      // The caller has deducted this attempt already.
+      aContext.attemptsLeft =
+        aAllotted.value_or(method.minimumAttempts - 1) + 1;
+      return;
+    case filters::Origin::kTarget:
+      aContext.attemptsLeft = method.minimumAttempts;
+      return;
+  }
+}
+
+std::optional<uint32_t>
+FixedCostPolicy::Draw(filters::RequestContext& aContext)
+{
+  uint32_t cost = aContext.method->minimumAttempts;
+  if (aContext.attemptsLeft < cost) {
+    return std::nullopt;
+  }
+  aContext.attemptsLeft -= cost;
+  ++aContext.attemptsStarted;
+  return cost - 1;
+}
+
+} // namespace wagtailbend::daemon
--- /dev/null
+++ b/wagtailbend/daemon/policies.h
@@ -0,0 +1,95 @@
+// The decisions of the request path that other modules replace: which target
+// to use and whether another attempt may start.
+//
+//   PreferOwnChooser chooser;
+//   const Destination* destination =
+//     chooser.Choose(context, snapshot, tried, now, rng);
+
+#pragma once
+
+#include <optional>
+#include <span>
+
+#include "wagtailbend/base/rng.h"
+#include "wagtailbend/daemon/routing_snapshot.h"
+#include "wagtailbend/filters/request_context.h"
+
+namespace wagtailbend::daemon {
+
+/// How one attempt ended, for the chooser's statistics.
+struct AttemptResult
+{
+  std::optional<ErrorKind> error;
+  Duration latency{};
+  /// Value of `wb-threshold` on the reply, empty if missing.
+  std::string_view threshold;
+};
+
+/// Selects the target of each attempt. Thread-safe.
+class TargetChooser
+{
+public:
+  virtual ~TargetChooser() = default;
+
+  /// Returns a destination in aSnapshot, or nullptr. aTried lists the daemons
+  /// of earlier attempts of the request.
+  virtual const Destination* Choose(const filters::RequestContext& aContext,
+                                    const RoutingSnapshot& aSnapshot,
+                                    std::span<const DaemonId> aTried,
+                                    TimePoint aNow,
+                                    Rng& aRng) = 0;
+  /// Called once for each attempt before it begins.
+  virtual void OnStart(const Destination& aDestination, TimePoint aNow) = 0;
+  /// Called once for each started attempt.
+  virtual void OnEnd(const Destination& aDestination,
+                     const AttemptResult& aResult,
+                     TimePoint aNow) = 0;
+};
+
+/// Takes the own target if it runs the service, else a random peer that was
+/// not tried yet, else a random peer. Replaced by the routing module.
+class PreferOwnChooser final : public TargetChooser
+{
+public:
+  const Destination* Choose(const filters::RequestContext& aContext,
+                            const RoutingSnapshot& aSnapshot,
+                            std::span<const DaemonId> aTried,
+                            TimePoint aNow,
+                            Rng& aRng) override;
+  void OnStart(const Destination& /*aDestination*/, TimePoint /*aNow*/) override
+  {
+  }
+  void OnEnd(const Destination& /*aDestination*/,
+             const AttemptResult& /*aResult*/,
+             TimePoint /*aNow*/) override
+  {
+  }
+};
+
+/// Accounts for the attempts of requests. Thread-safe.
+class AttemptPolicy
+{
+public:
+  virtual ~AttemptPolicy() = default;
+
+  /// Sets the budget of a request that has just arrived. aAllotted is the
+  /// value of `wb-attempts` sent by a peer.
+  virtual void Open(filters::RequestContext& aContext,
+                    std::optional<uint32_t> aAllotted) = 0;
+  /// Deducts one attempt and its downstream calls. Returns the value of
+  /// `wb-attempts` for the callee, or nullopt if the budget does not suffice.
+  virtual std::optional<uint32_t> Draw(filters::RequestContext& aContext) = 0;
+};
+
+/// Deducts the schema's minimum for every attempt and never returns anything.
+/// A downstream call gets the minimum and hence no retry. Replaced by the
+/// attempts module.
+class FixedCostPolicy final : public AttemptPolicy
+{
+public:
+  void Open(filters::RequestContext& aContext,
+            std::optional<uint32_t> aAllotted) override;
+  std::optional<uint32_t> Draw(filters::RequestContext& aContext) override;
+};
+
+} // namespace wagtailbend::daemon
--- /dev/null
+++ b/wagtailbend/filters/request_context.h
@@ -0,0 +1,67 @@
+// The state of one request at one daemon, shared by the filters of its chain.
+//
+//   RequestContext context;
+//   context.method = schema.FindMethod(path);
+//   std::optional<Error> error = chain.OnRequest(context, MonotonicNow());
+
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "wagtailbend/base/error.h"
+#include "wagtailbend/base/ids.h"
+#include "wagtailbend/base/time.h"
+#include "wagtailbend/schema/schema.h"
+
+namespace wagtailbend::filters {
+
+/// The listening address at which a request arrived.
+enum class Origin : uint8_t
+{
+  kCustomer,
+  kPeer,
+  kTarget,
+};
+
+/// One request at one daemon. Not thread-safe: the callbacks of one request
+/// are serialized by their owner.
+struct RequestContext
+{
+  /// Row of the schema; lives as long as the snapshot that the request holds.
+  const schema::Method* method = nullptr;
+  Origin origin = Origin::kCustomer;
+  RequestId requestId;
+  /// Attempt under which the caller knows this request; echoed to the caller.
+  AttemptId attemptId;
+  /// Request that the local target runs and on whose behalf it calls.
+  std::optional<RequestId> parent;
+  TimePoint arrival;
+  TimePoint deadline;
+  uint32_t priority = 0;
+  /// Attempts that this request may still start, this daemon's included.
+  uint32_t attemptsLeft = 0;
+  /// Attempts started by this daemon.
+  uint32_t attemptsStarted = 0;
+  /// xxHash64 of the request payload.
+  uint64_t payloadHash = 0;
+  std::string ticket;
+  std::string orderKey;
+  /// Value of the W3C `traceparent` header, passed on to the callee.
+  std::string traceParent;
+};
+
+/// How a request ended at this daemon.
+struct Outcome
+{
+  /// Empty if a complete and verified response was passed on.
+  std::optional<Error> error;
+  RunState runState = RunState::kRan;
+  /// gRPC status code sent to the caller. Not 0 without an error if the target
+  /// itself answered with a status of its own.
+  int grpcCode = 0;
+  uint64_t responseBytes = 0;
+};
+
+} // namespace wagtailbend::filters
