--- /dev/null
+++ b/wagtailbend/attempts/ratio_limiter.h
@@ -0,0 +1,52 @@
+// Limits retries and hedges to a share of a daemon's calls over the last 10 s.
+// It is the second limit beside the attempt ledger: the ledger bounds each
+// request, the ratio bounds the daemon's mean.
+//
+//   RatioLimiter retries(kRetryRatioPercent);
+//   retries.RecordCall(now);
+//   if (retries.TryTake(now)) { ... }
+
+#pragma once
+
+#include <array>
+#include <atomic>
+#include <cstdint>
+
+#include "wagtailbend/base/time.h"
+
+namespace wagtailbend::attempts {
+
+inline constexpr uint32_t kRetryRatioPercent = 10;
+inline constexpr uint32_t kHedgeRatioPercent = 5;
+
+/// Thread-safe without locks. Two TryTake that race across a second boundary
+/// may together exceed the ratio by one.
+class RatioLimiter
+{
+public:
+  explicit RatioLimiter(uint32_t aPercent);
+
+  /// Counts a first attempt. Retries and hedges do not count as calls.
+  void RecordCall(TimePoint aNow);
+
+  /// Returns true, and counts one retry or hedge, if the share stays at or
+  /// under the ratio with it. There is no free allowance at low rates: with
+  /// fewer than 100/percent calls in the window the answer is false.
+  bool TryTake(TimePoint aNow);
+
+private:
+  struct Totals
+  {
+    uint64_t calls = 0;
+    uint64_t extras = 0;
+  };
+  Totals Sum(uint32_t aSecond) const;
+
+  static constexpr uint32_t kWindowSeconds = 10;
+
+  uint32_t m_percent;
+  /// One word per second: second (24 bits), calls (20), extras (20).
+  std::array<std::atomic<uint64_t>, kWindowSeconds> m_buckets{};
+};
+
+} // namespace wagtailbend::attempts
