Add per-target admission and the entry's threshold table

Ruled out: rejecting orders on an estimated wait. Orders now wait while they can finish. Change: Admission with learned limit, bounded queue, reserve for orders, cap for long work, learned service times and size classes, threshold; ThresholdTable with ageing and probes. Conclusion: the decision logic is ready for the ingress and entry filters.

--- /dev/null
+++ b/wagtailbend/admission/invariants_test.cc
@@ -0,0 +1,209 @@
+#include <deque>
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include "wagtailbend/admission/admission.h"
+
+namespace wagtailbend::admission {
+namespace {
+
+using schema::Kind;
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+struct Client
+{
+  AdmissionRequest request;
+  int decisions = 0;
+  bool queued = false;
+};
+
+// Random load on one target, with every decision checked as it is made.
+class LoadCheck
+{
+public:
+  LoadCheck(uint32_t aSlots, uint64_t aSeed)
+    : m_admission({ .slots = aSlots, .reservesOrders = true })
+    , m_slots(aSlots)
+    , m_rng(aSeed)
+  {
+  }
+
+  void Step()
+  {
+    // Several operations share one instant, so that "at the same time" occurs.
+    if (UniformBelow(m_rng, 3) == 0) {
+      m_now += microseconds(UniformBelow(m_rng, 4000));
+      m_rejectedOrder = false;
+      m_lowestAdmittedLookup = schema::kMaxPriority + 1;
+    }
+    const uint64_t action = UniformBelow(m_rng, 100);
+    if (action < 60) {
+      Submit();
+    } else if (action < 95 && !m_running.empty()) {
+      Complete(UniformBelow(m_rng, m_running.size()));
+    } else if (action < 98) {
+      Deliver(m_admission.Poll(m_now, m_rng));
+    } else {
+      CancelOne();
+    }
+    RC_ASSERT(m_admission.State().inFlight == m_running.size());
+    RC_ASSERT(m_running.size() <= m_slots);
+    RC_ASSERT(
+      !(m_rejectedOrder && m_lowestAdmittedLookup < schema::kMaxPriority));
+  }
+
+  void Drain()
+  {
+    while (!m_running.empty()) {
+      m_now += milliseconds(1);
+      Complete(0);
+    }
+    m_now += std::chrono::seconds(100);
+    Deliver(m_admission.Poll(m_now, m_rng));
+    for (const Client& client : m_clients) {
+      RC_ASSERT(client.decisions == 1);
+    }
+    RC_ASSERT(m_admission.State().queued == 0U);
+  }
+
+private:
+  void Submit()
+  {
+    const uint64_t kind = UniformBelow(m_rng, 10);
+    Client& client = m_clients.emplace_back();
+    AdmissionRequest& request = client.request;
+    request.kind = kind < 2   ? Kind::kOrder
+                   : kind < 4 ? Kind::kBulk
+                              : Kind::kLookup;
+    request.method = request.kind == Kind::kOrder  ? "/s/Order"
+                     : request.kind == Kind::kBulk ? "/s/Bulk"
+                                                   : "/s/Lookup";
+    request.priority = request.kind == Kind::kOrder
+                         ? schema::kMaxPriority
+                         : static_cast<uint32_t>(UniformBelow(m_rng, 9));
+    request.nested =
+      request.kind == Kind::kLookup && UniformBelow(m_rng, 3) == 0;
+    request.deadline = m_now + microseconds(UniformBelow(m_rng, 120'000));
+    request.waiter = &client;
+    const Decision decision = m_admission.Submit(request, m_now, m_rng);
+    if (const auto* slot = std::get_if<Slot>(&decision)) {
+      Admitted(client, *slot);
+    } else if (const auto* rejection = std::get_if<Rejection>(&decision)) {
+      Rejected(client, *rejection);
+    } else {
+      client.queued = true;
+      m_queuedOrders += request.kind == Kind::kOrder ? 1 : 0;
+      m_tickets.emplace_back(&client, std::get<Queued>(decision));
+    }
+  }
+
+  void Complete(size_t aIndex)
+  {
+    const Slot slot = m_running[aIndex];
+    m_running[aIndex] = m_running.back();
+    m_running.pop_back();
+    Deliver(m_admission.Complete(
+      slot,
+      UniformBelow(m_rng, 8) == 0 ? Ending::kFailed : Ending::kAnswered,
+      m_now,
+      m_rng));
+  }
+
+  void CancelOne()
+  {
+    if (m_tickets.empty()) {
+      return;
+    }
+    const auto [client, ticket] = m_tickets.front();
+    m_tickets.pop_front();
+    // A client that was decided in the meantime must not be decided again.
+    if (m_admission.Cancel(ticket)) {
+      Left(*client);
+    }
+  }
+
+  void Deliver(const std::vector<Wakeup>& aWakeups)
+  {
+    for (const Wakeup& wakeup : aWakeups) {
+      Client& client = *static_cast<Client*>(wakeup.waiter);
+      RC_ASSERT(client.queued);
+      Left(client);
+      client.decisions--;
+      if (const auto* slot = std::get_if<Slot>(&wakeup.decision)) {
+        RC_ASSERT(m_now < client.request.deadline);
+        Admitted(client, *slot);
+      } else {
+        Rejected(client, std::get<Rejection>(wakeup.decision));
+      }
+    }
+  }
+
+  void Left(Client& aClient)
+  {
+    aClient.queued = false;
+    aClient.decisions++;
+    m_queuedOrders -= aClient.request.kind == Kind::kOrder ? 1 : 0;
+  }
+
+  void Admitted(Client& aClient, const Slot& aSlot)
+  {
+    aClient.decisions++;
+    m_running.push_back(aSlot);
+    if (aClient.request.kind == Kind::kOrder) {
+      return;
+    }
+    // Stronger than the requirement: no order waits while others start.
+    RC_ASSERT(m_queuedOrders == 0);
+    m_lowestAdmittedLookup =
+      std::min(m_lowestAdmittedLookup, aClient.request.priority);
+  }
+
+  void Rejected(Client& aClient, const Rejection& aRejection)
+  {
+    aClient.decisions++;
+    m_rejectedOrder =
+      m_rejectedOrder || (aClient.request.kind == Kind::kOrder &&
+                          aRejection.kind == ErrorKind::kOverloaded);
+  }
+
+  Admission m_admission;
+  uint32_t m_slots;
+  Rng m_rng;
+  TimePoint m_now{ std::chrono::seconds(50) };
+  std::deque<Client> m_clients;
+  std::vector<Slot> m_running;
+  std::deque<std::pair<Client*, Queued>> m_tickets;
+  int m_queuedOrders = 0;
+  bool m_rejectedOrder = false;
+  uint32_t m_lowestAdmittedLookup = schema::kMaxPriority + 1;
+};
+
+// Guards R2, the deadline and slot bounds, and the accounting of decisions.
+TEST(AdmissionInvariantsTest, HoldUnderRandomLoad)
+{
+  rc::detail::TestParams params;
+  params.seed = 20261204;
+  params.maxSuccess = 200;
+  const auto result = rc::detail::checkTestable(
+    [] {
+      const auto slots = *rc::gen::inRange<uint32_t>(1, 40);
+      const auto seed = *rc::gen::arbitrary<uint64_t>();
+      LoadCheck check(slots, seed);
+      for (int i = 0; i < 3000; i++) {
+        check.Step();
+      }
+      check.Drain();
+    },
+    rc::detail::TestMetadata{ "random load", "" },
+    params);
+  if (!result.template is<rc::detail::SuccessResult>()) {
+    std::ostringstream text;
+    rc::detail::printResultMessage(result, text);
+    FAIL() << text.str();
+  }
+}
+
+} // namespace
+} // namespace wagtailbend::admission
--- /dev/null
+++ b/wagtailbend/admission/threshold_table.cc
@@ -0,0 +1,192 @@
+#include "wagtailbend/admission/threshold_table.h"
+
+#include <algorithm>
+#include <charconv>
+#include <mutex>
+
+#include <fmt/format.h>
+
+#include "wagtailbend/admission/internal/pressure.h"
+
+namespace wagtailbend::admission {
+namespace {
+
+constexpr Duration kHold = std::chrono::milliseconds(500);
+constexpr Duration kFade = std::chrono::milliseconds(1500);
+// A target that sent no reply for this long no longer counts for its service:
+// it may be gone, and its faded threshold would let everything pass.
+constexpr Duration kForget = std::chrono::seconds(10);
+constexpr uint64_t kProbeEvery = 50;
+
+Duration
+Age(int64_t aUpdatedNs, TimePoint aNow)
+{
+  return aNow.time_since_epoch() - Duration(aUpdatedNs);
+}
+
+bool
+Allows(double aThreshold,
+       schema::Kind aKind,
+       uint32_t aPriority,
+       bool aNested,
+       Rng& aRng)
+{
+  if (aNested || aKind == schema::Kind::kOrder) {
+    return true;
+  }
+  return !IsBelowThreshold(aPriority, aThreshold, aRng) ||
+         UniformBelow(aRng, kProbeEvery) == 0;
+}
+
+} // namespace
+
+std::string
+FormatThreshold(double aThreshold)
+{
+  return fmt::format("{:.2f}", aThreshold);
+}
+
+std::optional<double>
+ParseThreshold(std::string_view aText)
+{
+  double value = 0;
+  const char* end = aText.data() + aText.size();
+  const auto [rest, error] = std::from_chars(aText.data(), end, value);
+  // The negated comparison also rejects NaN.
+  if (error != std::errc{} || rest != end ||
+      !(value >= 0 && value <= schema::kMaxPriority)) {
+    return std::nullopt;
+  }
+  return value;
+}
+
+ThresholdTable::Shard&
+ThresholdTable::ShardOf(std::string_view aService)
+{
+  return m_shards[std::hash<std::string_view>{}(aService) % kShardCount];
+}
+
+const ThresholdTable::Shard&
+ThresholdTable::ShardOf(std::string_view aService) const
+{
+  return m_shards[std::hash<std::string_view>{}(aService) % kShardCount];
+}
+
+void
+ThresholdTable::Write(Cell& aCell, double aThreshold, TimePoint aNow)
+{
+  aCell.threshold.store(aThreshold, std::memory_order_relaxed);
+  aCell.updatedNs.store(aNow.time_since_epoch().count(),
+                        std::memory_order_relaxed);
+}
+
+double
+ThresholdTable::Read(const Cell& aCell, TimePoint aNow)
+{
+  const Duration age =
+    Age(aCell.updatedNs.load(std::memory_order_relaxed), aNow);
+  const double threshold = aCell.threshold.load(std::memory_order_relaxed);
+  if (age <= kHold) {
+    return threshold;
+  }
+  const double faded = std::chrono::duration<double>(age - kHold) /
+                       std::chrono::duration<double>(kFade);
+  return threshold * std::max(0.0, 1.0 - faded);
+}
+
+void
+ThresholdTable::DropStale(Targets& aTargets, TimePoint aNow)
+{
+  std::erase_if(aTargets, [&](const auto& aEntry) {
+    return Age(aEntry.second->updatedNs.load(), aNow) > kForget;
+  });
+}
+
+void
+ThresholdTable::Update(std::string_view aService,
+                       std::string_view aTarget,
+                       double aThreshold,
+                       TimePoint aNow)
+{
+  Shard& shard = ShardOf(aService);
+  {
+    const std::shared_lock lock(shard.mutex);
+    const auto service = shard.services.find(aService);
+    if (service != shard.services.end()) {
+      const auto target = service->second.find(aTarget);
+      if (target != service->second.end()) {
+        Write(*target->second, aThreshold, aNow);
+        return;
+      }
+    }
+  }
+  const std::unique_lock lock(shard.mutex);
+  Targets& targets = shard.services[std::string(aService)];
+  DropStale(targets, aNow);
+  std::unique_ptr<Cell>& cell = targets[std::string(aTarget)];
+  if (cell == nullptr) {
+    cell = std::make_unique<Cell>();
+  }
+  Write(*cell, aThreshold, aNow);
+}
+
+double
+ThresholdTable::OfTarget(std::string_view aService,
+                         std::string_view aTarget,
+                         TimePoint aNow) const
+{
+  const Shard& shard = ShardOf(aService);
+  const std::shared_lock lock(shard.mutex);
+  const auto service = shard.services.find(aService);
+  if (service == shard.services.end()) {
+    return 0;
+  }
+  const auto target = service->second.find(aTarget);
+  return target == service->second.end() ? 0 : Read(*target->second, aNow);
+}
+
+double
+ThresholdTable::OfService(std::string_view aService, TimePoint aNow) const
+{
+  const Shard& shard = ShardOf(aService);
+  const std::shared_lock lock(shard.mutex);
+  const auto service = shard.services.find(aService);
+  if (service == shard.services.end()) {
+    return 0;
+  }
+  std::optional<double> lowest;
+  for (const auto& [name, cell] : service->second) {
+    if (Age(cell->updatedNs.load(std::memory_order_relaxed), aNow) > kForget) {
+      continue;
+    }
+    const double threshold = Read(*cell, aNow);
+    lowest = std::min(lowest.value_or(threshold), threshold);
+  }
+  return lowest.value_or(0);
+}
+
+bool
+ThresholdTable::AllowsService(std::string_view aService,
+                              schema::Kind aKind,
+                              uint32_t aPriority,
+                              bool aNested,
+                              TimePoint aNow,
+                              Rng& aRng) const
+{
+  return Allows(OfService(aService, aNow), aKind, aPriority, aNested, aRng);
+}
+
+bool
+ThresholdTable::AllowsTarget(std::string_view aService,
+                             std::string_view aTarget,
+                             schema::Kind aKind,
+                             uint32_t aPriority,
+                             bool aNested,
+                             TimePoint aNow,
+                             Rng& aRng) const
+{
+  return Allows(
+    OfTarget(aService, aTarget, aNow), aKind, aPriority, aNested, aRng);
+}
+
+} // namespace wagtailbend::admission
