Control the admission threshold by the queue's drain time

A trace showed the threshold swinging between 4.5 and 6.25: it moved by fixed steps (+0.5, -0.25 per 50 ms) and the queue integrates the excess, so it alternated between a full queue and 77 to 24 busy slots of 100. Rejected bulk work also raised the threshold, which rejects lookups. Change: the step follows the drain time's distance from a quarter of the time bound and its change; outside of that steps grow from 0.05 to 0.25. Long work does not raise the threshold. Tests for the threshold and for threads that share one target.

--- a/wagtailbend/admission/admission.cc
+++ b/wagtailbend/admission/admission.cc
@@ -11,9 +11,9 @@
 // otherwise a method whose learned time is too high would never run again and
 // the time would never be corrected.
 constexpr uint32_t kProbeEvery = 16;
-// A queue that never drains below this part of the time bound is standing.
-// Reacting to every queue that is not empty left slots idle between arrivals.
-constexpr int kStandingQueueDivisor = 4;
+// The queue aims at this part of its time bound: enough to keep the slots busy
+// between arrivals, and room for bursts above it.
+constexpr int kDrainTargetDivisor = 4;
 constexpr Duration kRetryAfterBase = std::chrono::milliseconds(100);
 
 uint32_t
@@ -32,6 +32,7 @@
   , m_reserved(ReservedSlots(aConfig))
   , m_longCap(std::max(1U, aConfig.slots / 4))
   , m_limit(aConfig.slots)
+  , m_pressure(aConfig.maxQueueTime / kDrainTargetDivisor)
 {
 }
 
@@ -152,7 +153,7 @@
   // Orders are not rejected on an estimate: a slot that becomes free earlier
   // than estimated would go to work of lower priority.
   if (!order && aNow + EstimatedWait(placement) > placement.entry.expiry) {
-    m_pressure.OnOverload();
+    ReportOverload(isLong);
     return Reject(ErrorKind::kOverloaded, aRng);
   }
   (isLong ? m_longQueue : m_queue).Insert(placement.key, placement.entry);
@@ -208,11 +209,21 @@
   for (internal::WaitQueue* queue : { &m_queue, &m_longQueue }) {
     while (const auto entry = queue->TakeExpired(aNow)) {
       aWakeups.push_back({ entry->waiter, Reject(entry->expiryKind, aRng) });
-      m_pressure.OnOverload();
+      ReportOverload(queue == &m_longQueue);
     }
   }
 }
 
+void
+Admission::ReportOverload(bool aLong)
+{
+  // Too much long work says nothing about the slots of short work, and the
+  // threshold would reject that.
+  if (!aLong) {
+    m_pressure.OnOverload();
+  }
+}
+
 void
 Admission::Dispatch(std::vector<Wakeup>& aWakeups, TimePoint aNow)
 {
@@ -238,7 +249,7 @@
 {
   const Duration drain = m_times.MeanOfShort().value_or(Duration{}) *
                          m_queue.Size() / std::max(1U, m_limit.Current());
-  m_pressure.Roll(drain <= m_config.maxQueueTime / kStandingQueueDivisor, aNow);
+  m_pressure.Roll(drain, m_queue.Empty() && HasSlotFor(false, false), aNow);
   m_threshold.store(m_pressure.Threshold(), std::memory_order_relaxed);
 }
 
--- a/wagtailbend/admission/admission.h
+++ b/wagtailbend/admission/admission.h
@@ -172,6 +172,7 @@
   Rejection Reject(ErrorKind aKind, Rng& aRng);
   void Expire(std::vector<Wakeup>& aWakeups, TimePoint aNow, Rng& aRng);
   void Dispatch(std::vector<Wakeup>& aWakeups, TimePoint aNow);
+  void ReportOverload(bool aLong);
   void Roll(TimePoint aNow);
 
   const AdmissionConfig m_config;
--- a/wagtailbend/admission/admission_test.cc
+++ b/wagtailbend/admission/admission_test.cc
@@ -143,6 +143,36 @@
   EXPECT_EQ(admission.State().queued, 0U);
 }
 
+// Guards lookups against a threshold that too much bulk work raised, and
+// against one that stays up after the overload.
+TEST_F(AdmissionTest, ThresholdFollowsShortWorkOnlyAndReturnsToZero)
+{
+  Admission admission({ .slots = 2 });
+  for (int i = 0; i < 10; i++) {
+    Run(admission, "/s/M", milliseconds(20));
+    Run(admission, "/s/Bulk", milliseconds(20));
+  }
+  const auto overload = [&](Kind aKind, std::string_view aMethod) {
+    for (int i = 0; i < 2000; i++, m_now += milliseconds(1)) {
+      Submit(admission, aKind, 3, nullptr, false, aMethod);
+      static_cast<void>(admission.Poll(m_now, m_rng));
+    }
+  };
+  overload(Kind::kBulk, "/s/Bulk");
+  EXPECT_EQ(admission.State().longInFlight, 1U);
+  EXPECT_EQ(admission.Threshold(), 0.0);
+  overload(Kind::kLookup, "/s/M");
+  EXPECT_GE(admission.Threshold(), 3.0);
+  // The queue empties, the lookup ends, and the target is idle from then on.
+  m_now += seconds(1);
+  static_cast<void>(admission.Poll(m_now, m_rng));
+  static_cast<void>(
+    admission.Complete({ .start = m_now }, Ending::kFailed, m_now, m_rng));
+  m_now += seconds(5);
+  static_cast<void>(admission.Poll(m_now, m_rng));
+  EXPECT_EQ(admission.Threshold(), 0.0);
+}
+
 // Guards a target whose latency grows with concurrency, and the way back.
 TEST(ConcurrencyLimitTest, FallsWithLatencyAndReopensStepwise)
 {
--- a/wagtailbend/admission/internal/pressure.cc
+++ b/wagtailbend/admission/internal/pressure.cc
@@ -8,30 +8,59 @@
 namespace {
 
 constexpr Duration kWindow = std::chrono::milliseconds(50);
-constexpr double kRise = 0.5;
-// Slower than the rise, so that the threshold does not swing by a whole
-// priority between two windows.
-constexpr double kFall = 0.25;
+// A first step of the largest size made the threshold of a nested target swing:
+// queued calls of low priority expire, which counts as overload, also while the
+// queue is close to its target.
+constexpr double kFirstStep = 0.05;
+constexpr double kLargestStep = 0.25;
+// Priorities per second of drain time, for its distance from the target in one
+// window and for its change. The queue integrates the excess of arrivals, so
+// with a whole load at one priority at 3x overload (gain 3) the loop is s^2 +
+// 12 s + 12, and with a tenth of that s^2 + 1.2 s + 1.2: damped in both cases,
+// and slower than the 50 ms in which replies tell the threshold.
+constexpr double kDistanceGain = 0.2;
+constexpr double kChangeGain = 4.0;
+
+double
+Seconds(Duration aDuration)
+{
+  return std::chrono::duration<double>(aDuration).count();
+}
 
 } // namespace
 
+double
+Pressure::Step(Duration aDrain, bool aIdle)
+{
+  if (aIdle) {
+    m_streak = std::min(m_streak, 0) - 1;
+  } else if (m_overloaded && aDrain > m_target) {
+    m_streak = std::max(m_streak, 0) + 1;
+  } else {
+    m_streak = 0;
+    return std::clamp(kDistanceGain * Seconds(aDrain - m_target) +
+                        kChangeGain * Seconds(aDrain - m_drainBefore),
+                      -kLargestStep,
+                      kLargestStep);
+  }
+  return std::clamp(kFirstStep * m_streak, -kLargestStep, kLargestStep);
+}
+
 void
-Pressure::Roll(bool aQueueShort, TimePoint aNow)
+Pressure::Roll(Duration aDrain, bool aIdle, TimePoint aNow)
 {
-  m_wasShort = m_wasShort || aQueueShort;
   if (aNow - m_windowStart < kWindow) {
     return;
   }
-  if (m_overloaded || !m_wasShort) {
-    m_threshold = std::min<double>(schema::kMaxPriority, m_threshold + kRise);
-  } else {
-    // Windows without any event count as well.
-    const auto windows = static_cast<double>((aNow - m_windowStart) / kWindow);
-    m_threshold = std::max(0.0, m_threshold - kFall * windows);
-  }
+  // Windows without any event were idle.
+  const auto windows = static_cast<double>((aNow - m_windowStart) / kWindow);
+  const double step =
+    Step(aDrain, aIdle) - kLargestStep * (aIdle ? windows - 1 : 0);
+  m_threshold =
+    std::clamp<double>(m_threshold + step, 0.0, schema::kMaxPriority);
   m_windowStart = aNow;
+  m_drainBefore = aDrain;
   m_overloaded = false;
-  m_wasShort = aQueueShort;
 }
 
 } // namespace wagtailbend::admission::internal
--- a/wagtailbend/admission/invariants_test.cc
+++ b/wagtailbend/admission/invariants_test.cc
@@ -1,4 +1,7 @@
+#include <atomic>
 #include <deque>
+#include <sstream>
+#include <thread>
 
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
@@ -205,5 +208,91 @@
   }
 }
 
+// One of several threads that share an Admission.
+class TrafficThread
+{
+public:
+  TrafficThread(Admission& aAdmission, uint64_t aSeed)
+    : m_admission(aAdmission)
+    , m_rng(aSeed)
+  {
+  }
+
+  // Submits one request per element of aDecisions and counts its decisions.
+  void Run(std::vector<std::atomic<int>>& aDecisions)
+  {
+    for (size_t i = 0; i < aDecisions.size(); i++) {
+      m_now += microseconds(100);
+      const Kind kind = i % 5 == 0 ? Kind::kOrder : Kind::kLookup;
+      const Decision decision = m_admission.Submit(
+        { "/s/M", kind, 5, m_now + milliseconds(50), false, &aDecisions[i] },
+        m_now,
+        m_rng);
+      aDecisions[i] += std::holds_alternative<Queued>(decision) ? 0 : 1;
+      if (const auto* slot = std::get_if<Slot>(&decision)) {
+        m_slots.push_back(*slot);
+      }
+      if (i % 3 == 0) {
+        CompleteAll();
+      }
+    }
+    m_now += std::chrono::seconds(9);
+    CompleteAll();
+    Deliver(m_admission.Poll(m_now, m_rng));
+  }
+
+private:
+  void CompleteAll()
+  {
+    while (!m_slots.empty()) {
+      const Slot slot = m_slots.back();
+      m_slots.pop_back();
+      Deliver(m_admission.Complete(slot, Ending::kAnswered, m_now, m_rng));
+    }
+  }
+
+  void Deliver(const std::vector<Wakeup>& aWakeups)
+  {
+    for (const Wakeup& wakeup : aWakeups) {
+      (*static_cast<std::atomic<int>*>(wakeup.waiter))++;
+      if (const auto* slot = std::get_if<Slot>(&wakeup.decision)) {
+        m_slots.push_back(*slot);
+      }
+    }
+  }
+
+  Admission& m_admission;
+  Rng m_rng;
+  TimePoint m_now{ std::chrono::seconds(50) };
+  std::vector<Slot> m_slots;
+};
+
+// Guards the accounting when traffic threads race: a lost or doubled wakeup, or
+// a slot that is never given back.
+TEST(AdmissionInvariantsTest, ConcurrentThreadsGetOneDecisionEach)
+{
+  constexpr size_t kThreads = 4;
+  Admission admission({ .slots = 2, .reservesOrders = true });
+  std::vector<std::vector<std::atomic<int>>> decisions;
+  std::vector<std::thread> threads;
+  decisions.reserve(kThreads);
+  threads.reserve(kThreads);
+  for (size_t i = 0; i < kThreads; i++) {
+    auto& own = decisions.emplace_back(5000);
+    threads.emplace_back(
+      [&admission, &own, i] { TrafficThread(admission, i).Run(own); });
+  }
+  for (std::thread& thread : threads) {
+    thread.join();
+  }
+  for (const auto& own : decisions) {
+    for (const auto& count : own) {
+      ASSERT_EQ(count, 1);
+    }
+  }
+  EXPECT_EQ(admission.State().inFlight, 0U);
+  EXPECT_EQ(admission.State().queued, 0U);
+}
+
 } // namespace
 } // namespace wagtailbend::admission
