Detect silent connections of unary calls and test the path under faults

Cause: a lookup on a connection that went silent waited for its deadline, and no test ended processes or connections.

Ruled out: a timeout alone for each attempt. It would repeat slow calls, so a unary attempt counts as silent only if nothing at all arrived on its connection within the bound; it is repeated once at most. An order is never ended early, only its connection is replaced for later calls.

Change: progress bound for unary attempts (half of the remaining time at the entry, a third at the ingress, at most 2 s), a relay in the fake target that silences open connections while new ones work, and tests with killed targets and VMs, drain with a stream in flight, cut, duplicated and swapped responses, silent connections, crashing orders, orders shed before they start, and a frozen target.

A fault found by the tests: a target that answers OK without a message aborted the daemon ("API misuse of type GRPC_CALL_ERROR_INVALID_MESSAGE", assertion in call_op_set.h). Such an answer is now answer-incomplete.

--- a/testing/fake_call.cc
+++ b/testing/fake_call.cc
@@ -62,28 +62,36 @@
     return;
   }
   m_key = KeyOf(*m_descriptor, Flatten(m_request));
+  RecordIfOrder();
   std::string crashKey = m_target.m_faults.CrashKey();
   if (!crashKey.empty() && crashKey == m_key) {
     std::_Exit(3);
   }
-  if (m_method->kind == schema::Kind::kOrder) {
-    const auto& metadata = m_context.client_metadata();
-    nlohmann::json line = {
-      { "method", m_method->path },
-      { "key", m_key },
-      { "request", m_ids.first },
-      { "attempt", m_ids.second },
-      { "ticket", std::string(wb::FindMetadata(metadata, wb::kTicketKey)) },
-      { "order_key", std::string(wb::FindMetadata(metadata, wb::kOrderKeyKey)) }
-    };
-    m_target.RecordOrder(line.dump());
-  }
   if (m_target.m_faults.silent && Park()) {
     return;
   }
   Run();
 }
 
+// Recorded before any fault, so that the file counts every run that started.
+void
+FakeCall::RecordIfOrder()
+{
+  if (m_method->kind != schema::Kind::kOrder) {
+    return;
+  }
+  const auto& metadata = m_context.client_metadata();
+  nlohmann::json line = {
+    { "method", m_method->path },
+    { "key", m_key },
+    { "request", m_ids.first },
+    { "attempt", m_ids.second },
+    { "ticket", std::string(wb::FindMetadata(metadata, wb::kTicketKey)) },
+    { "order_key", std::string(wb::FindMetadata(metadata, wb::kOrderKeyKey)) }
+  };
+  m_target.RecordOrder(line.dump());
+}
+
 // Holds the call until it is cancelled. Returns false if it is already.
 bool
 FakeCall::Park()
--- a/testing/fake_call.h
+++ b/testing/fake_call.h
@@ -30,6 +30,7 @@
   void OnDone() override;
 
 private:
+  void RecordIfOrder();
   bool Park();
   void Run();
   void CallNext();
--- a/testing/fake_target.cc
+++ b/testing/fake_target.cc
@@ -74,9 +74,8 @@
   }
   m_service = std::make_unique<Service>(*this);
   grpc::ServerBuilder builder;
-  int port = 0;
   builder.AddListeningPort(
-    m_options.address, grpc::InsecureServerCredentials(), &port);
+    m_options.address, grpc::InsecureServerCredentials(), &m_port);
   builder.RegisterCallbackGenericService(m_service.get());
   builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
   // The daemon pings each second, also without calls.
@@ -85,7 +84,13 @@
   builder.AddChannelArgument(GRPC_ARG_KEEPALIVE_PERMIT_WITHOUT_CALLS, 1);
   builder.AddChannelArgument(GRPC_ARG_HTTP2_MAX_PING_STRIKES, 0);
   m_server = builder.BuildAndStart();
-  return port != 0 && m_server;
+  return m_port != 0 && m_server;
+}
+
+std::string
+FakeTarget::BoundAddress() const
+{
+  return "127.0.0.1:" + std::to_string(m_port);
 }
 
 void
--- a/testing/fake_target.h
+++ b/testing/fake_target.h
@@ -54,6 +54,10 @@
   /// Reports the load of this long ago.
   std::atomic<int64_t> lagMs{ 0 };
 
+  /// Raised to silence all connections that are open at that moment; new ones
+  /// work. Needs the relay.
+  std::atomic<uint32_t> muteRequests{ 0 };
+
   void SetCrashKey(const std::string& aKey);
   std::string CrashKey() const;
 
@@ -69,8 +73,10 @@
   FakeTarget(FakeTargetOptions aOptions, schema::Schema aSchema);
   ~FakeTarget();
 
-  /// Returns false if the address is in use.
+  /// Returns false if the address is in use. With port 0 any free port is used.
   bool Start();
+  /// "127.0.0.1:port" after Start.
+  std::string BoundAddress() const;
   /// Waits until no call runs, at most aLimit, then stops the server.
   void Drain(std::chrono::milliseconds aLimit);
 
@@ -103,6 +109,7 @@
   std::unique_ptr<grpc::GenericStub> m_egress;
   std::unique_ptr<Service> m_service;
   std::unique_ptr<grpc::Server> m_server;
+  int m_port = 0;
 };
 
 } // namespace wagtailbend::testing
--- a/testing/fake_target_main.cc
+++ b/testing/fake_target_main.cc
@@ -12,12 +12,14 @@
 #include <nlohmann/json.hpp>
 
 #include "testing/fake_target.h"
+#include "testing/silent_relay.h"
 
 namespace {
 
 using wagtailbend::testing::FakeFaults;
 using wagtailbend::testing::FakeTarget;
 using wagtailbend::testing::FakeTargetOptions;
+using wagtailbend::testing::SilentRelay;
 
 constexpr auto kHeartbeatInterval = std::chrono::milliseconds(200);
 constexpr auto kDrainLimit = std::chrono::seconds(60);
@@ -31,6 +33,9 @@
   aFaults.cut = aJson.value("cut", aFaults.cut.load());
   aFaults.duplicate = aJson.value("duplicate", aFaults.duplicate.load());
   aFaults.lagMs = aJson.value("lag_ms", aFaults.lagMs.load());
+  if (aJson.value("mute_connections", false)) {
+    aFaults.muteRequests += 1;
+  }
   aFaults.SetCrashKey(aJson.value("crash_key", aFaults.CrashKey()));
 }
 
@@ -38,8 +43,9 @@
 class Reporter
 {
 public:
-  Reporter(FakeTarget& aTarget, std::string aDaemon)
+  Reporter(FakeTarget& aTarget, std::string aAddress, std::string aDaemon)
     : m_target(aTarget)
+    , m_address(std::move(aAddress))
     , m_daemon(std::move(aDaemon))
     , m_thread([this] { Run(); })
   {
@@ -74,7 +80,7 @@
       if (!known) {
         Post("/v1/target/announce",
              { { "service", options.service },
-               { "address", options.address },
+               { "address", m_address },
                { "slots", options.slots },
                { "connections", 1000 },
                { "cold", true } });
@@ -84,6 +90,7 @@
   }
 
   FakeTarget& m_target;
+  std::string m_address;
   std::string m_daemon;
   std::atomic<bool> m_stop{ false };
   std::thread m_thread;
@@ -134,6 +141,7 @@
     cxxopts::value<size_t>()->default_value("65536"))(
     "orders", "file of order runs", text()->default_value(""))(
     "fault", "JSON as for POST /fault", text()->default_value("{}"))(
+    "relay", "accept connections through a relay that can be muted")(
     "help", "print this help")("version", "print the version");
   return usage;
 }
@@ -143,7 +151,9 @@
 {
   FakeTargetOptions options;
   options.service = aArguments["service"].as<std::string>();
-  options.address = aArguments["address"].as<std::string>();
+  options.address = aArguments.count("relay")
+                      ? "127.0.0.1:0"
+                      : aArguments["address"].as<std::string>();
   options.egress = aArguments["egress"].as<std::string>();
   options.slots = aArguments["slots"].as<uint32_t>();
   options.serviceTime =
@@ -177,15 +187,21 @@
     std::cerr << "cannot listen\n";
     return 1;
   }
+  std::string address = aArguments["address"].as<std::string>();
+  std::unique_ptr<SilentRelay> relay;
+  if (aArguments.count("relay")) {
+    relay = std::make_unique<SilentRelay>(
+      address, target.BoundAddress(), target.Faults().muteRequests);
+  }
   std::thread serving([&server] { server.listen_after_bind(); });
   std::string daemon = aArguments["daemon"].as<std::string>();
   std::unique_ptr<Reporter> reporter;
   if (!daemon.empty()) {
-    reporter = std::make_unique<Reporter>(target, daemon);
+    reporter = std::make_unique<Reporter>(target, address, daemon);
   }
   std::cout << fmt::format("event=ready service={} address={} http={}\n",
                            target.Options().service,
-                           target.Options().address,
+                           address,
                            http)
             << std::flush;
   asio::io_context context;
--- a/testing/path.cmake
+++ b/testing/path.cmake
@@ -1,7 +1,11 @@
 wb_library(wb_deployment SRCS process.cc deployment.cc caller.cc
+
            DEPS wb_fake_target PkgConfig::HTTPLIB)
 target_compile_definitions(wb_deployment PRIVATE
   WB_SOURCE_DIR="${CMAKE_SOURCE_DIR}" WB_BIN_DIR="${CMAKE_BINARY_DIR}/bin")
 wb_test(path_test SRCS path_test.cc DEPS wb_deployment)
-add_dependencies(path_test wagtaild wagtail-fake-target)
-set_tests_properties(path_test PROPERTIES RUN_SERIAL TRUE)
+wb_test(path_fault_test SRCS path_fault_test.cc DEPS wb_deployment)
+foreach(test path_test path_fault_test)
+  add_dependencies(${test} wagtaild wagtail-fake-target)
+  set_tests_properties(${test} PROPERTIES RUN_SERIAL TRUE)
+endforeach()
--- a/testing/path_test.cc
+++ b/testing/path_test.cc
@@ -1,9 +1,5 @@
 // The request path through real processes.
 
-#include <atomic>
-#include <csignal>
-#include <thread>
-
 #include <gtest/gtest.h>
 
 #include "testing/caller.h"
@@ -12,9 +8,6 @@
 namespace wagtailbend::testing {
 namespace {
 
-using std::chrono::milliseconds;
-using std::chrono::seconds;
-
 constexpr char kCheck[] = "/association.Balances/Check";
 constexpr char kOrder[] = "/association.Payouts/Order";
 constexpr char kDownload[] = "/association.Ledgers/Download";
@@ -35,6 +28,17 @@
   }
 }
 
+// Guards against taking a message of no bytes for a missing one.
+TEST(Path, EmptyRequestMessage)
+{
+  Deployment deployment("association", { { "association.Settlements", {} } });
+  ASSERT_TRUE(deployment.Start());
+  Caller caller(deployment.At(0).customer);
+  constexpr char kLookup[] = "/association.Settlements/Lookup";
+  CallRecord record = caller.Call(kLookup, "");
+  EXPECT_TRUE(IsComplete(record, kLookup, "")) << record.status.error_message();
+}
+
 // Guards against chains that lose the request on the way: each hop of
 // Payouts -> Ledgers -> Settlements runs in another VM.
 TEST(Path, OrderWithThreeDeepChain)
--- a/wagtailbend/daemon/bridge.cc
+++ b/wagtailbend/daemon/bridge.cc
@@ -225,7 +225,10 @@
   request.method = method.path;
   request.streamed = method.serverStreaming;
   request.payload = m_request;
-  request.progressBound = m_traffic.progressBound;
+  request.progressBound = ProgressBound();
+  // An order may have run already, so there is nothing to gain by ending it.
+  request.cancelWhenSilent =
+    request.streamed || (method.idempotent && !m_silenceSeen);
   request.deadline =
     std::chrono::system_clock::now() +
     std::chrono::duration_cast<std::chrono::system_clock::duration>(
@@ -253,6 +256,23 @@
   return request;
 }
 
+// The bound of a unary call leaves time for another attempt. A daemon that
+// received the call from a peer uses a smaller share, so that the daemon
+// nearest to a silent connection is the one that replaces it.
+Duration
+Bridge::ProgressBound() const
+{
+  if (m_context.method->serverStreaming) {
+    return m_traffic.progressBound;
+  }
+  constexpr int kEntryShare = 2;
+  constexpr int kIngressShare = 3;
+  Duration left = m_context.deadline - m_attemptStart;
+  bool ingress = m_context.origin == filters::Origin::kPeer;
+  return std::min(left / (ingress ? kIngressShare : kEntryShare),
+                  m_traffic.progressBound);
+}
+
 // Makes the attempt visible to OnCancel. Returns true if the caller has
 // cancelled already.
 bool
--- a/wagtailbend/daemon/bridge.h
+++ b/wagtailbend/daemon/bridge.h
@@ -46,6 +46,7 @@
   void OnAdmitted(std::optional<Error> aError);
   void StartAttempt();
   AttemptRequest MakeAttemptRequest(uint32_t aAllotted);
+  Duration ProgressBound() const;
   bool Publish(const std::shared_ptr<Attempt>& aAttempt);
   std::optional<Error> ErrorOf(const AttemptEnd& aEnd, RunState& aRun);
   bool MayRetry(const Error& aError, RunState aRun) const;
@@ -77,6 +78,9 @@
   std::optional<Error> m_attemptError;
   std::vector<DaemonId> m_tried;
   bool m_framePassedOn = false;
+  // A request is sent again for a silent connection only once: a service
+  // that stalls altogether must not receive ever more attempts.
+  bool m_silenceSeen = false;
   // An earlier attempt may have run the request.
   bool m_mayHaveRun = false;
   uint64_t m_responseBytes = 0;
--- a/wagtailbend/daemon/bridge_end.cc
+++ b/wagtailbend/daemon/bridge_end.cc
@@ -101,6 +101,7 @@
   if (aEnd.unreachable && m_traffic.events) {
     m_traffic.events->OnUnreachable(*m_destination);
   }
+  m_silenceSeen = m_silenceSeen || aEnd.silent;
   m_mayHaveRun = m_mayHaveRun || aRun != RunState::kNotRun;
   if (MayRetry(aError, aRun)) {
     m_traffic.counters.retries.fetch_add(1, std::memory_order_relaxed);
--- a/wagtailbend/daemon/channel_pool.h
+++ b/wagtailbend/daemon/channel_pool.h
@@ -36,13 +36,15 @@
   Duration timeout = std::chrono::seconds(1);
 };
 
-/// One connection. Immutable; lives until its last attempt has ended.
+/// One connection; lives until its last attempt has ended. Thread-safe.
 struct ChannelSlot
 {
   explicit ChannelSlot(std::shared_ptr<grpc::Channel> aChannel);
 
   std::shared_ptr<grpc::Channel> channel;
   grpc::GenericStub stub;
+  /// Time at which anything last arrived from the callee.
+  std::atomic<TimePoint> lastReceived{ TimePoint{} };
 };
 
 /// The connections to one address. Thread-safe.
--- a/wagtailbend/daemon/grpc_transport.cc
+++ b/wagtailbend/daemon/grpc_transport.cc
@@ -1,5 +1,6 @@
 #include "wagtailbend/daemon/grpc_transport.h"
 
+#include <algorithm>
 #include <atomic>
 #include <memory>
 #include <mutex>
@@ -22,7 +23,9 @@
 }
 
 /// What unary and streamed attempts have in common.
-class AttemptBase : public Attempt
+class AttemptBase
+  : public Attempt
+  , public std::enable_shared_from_this<AttemptBase>
 {
 public:
   AttemptBase(AttemptRequest aRequest, AttemptObserver& aObserver)
@@ -39,6 +42,11 @@
   void Cancel() override { m_context.TryCancel(); }
 
 protected:
+  /// Returns the time of the last sign of life that the attempt accepts.
+  virtual TimePoint LastProgress() = 0;
+
+  void NoteReceived() { m_slot->lastReceived.store(MonotonicNow()); }
+
   void ReportIds()
   {
     const MetadataMap& headers = m_context.GetServerInitialMetadata();
@@ -48,6 +56,7 @@
 
   void ReportEnd(const grpc::Status& aStatus)
   {
+    StopWatch();
     const MetadataMap& trailers = m_context.GetServerTrailingMetadata();
     AttemptEnd end;
     end.status = aStatus;
@@ -59,25 +68,70 @@
     end.checksum = FindMetadata(trailers, kChecksumKey);
     end.attemptsLeft = FindMetadata(trailers, kAttemptsLeftKey);
     end.threshold = FindMetadata(trailers, kThresholdKey);
-    end.silent = m_silent;
+    // A response that completed despite the cancellation is a response.
+    end.silent = m_silent && !aStatus.ok();
     end.unreachable =
       aStatus.error_code() == grpc::StatusCode::UNAVAILABLE &&
       end.ids.requestId.empty() &&
       m_slot->channel->GetState(false) == GRPC_CHANNEL_TRANSIENT_FAILURE;
+    if (!end.ids.requestId.empty()) {
+      NoteReceived();
+    }
     m_observer.OnEnd(end);
   }
 
-  void ReplaceConnection()
+  /// Checks the progress again when the bound may have passed.
+  void Watch()
+  {
+    if (m_request.progressBound == Duration{}) {
+      return;
+    }
+    std::lock_guard lock(m_alarmMutex);
+    if (m_done) {
+      return;
+    }
+    Duration left = LastProgress() + m_request.progressBound - MonotonicNow();
+    m_alarm = std::make_unique<grpc::Alarm>();
+    m_alarm->Set(SystemDeadline(left), [weak = weak_from_this()](bool aOk) {
+      if (auto self = weak.lock(); self && aOk) {
+        self->CheckProgress();
+      }
+    });
+  }
+
+private:
+  void CheckProgress()
   {
-    m_silent = true;
+    if (MonotonicNow() < LastProgress() + m_request.progressBound) {
+      Watch();
+      return;
+    }
     m_request.link->Replace(m_request.work, m_slot);
+    if (m_request.cancelWhenSilent) {
+      m_silent = true;
+      Cancel();
+    }
   }
 
+  void StopWatch()
+  {
+    std::lock_guard lock(m_alarmMutex);
+    m_done = true;
+    m_alarm.reset();
+  }
+
+protected:
   AttemptRequest m_request;
   AttemptObserver& m_observer;
   std::shared_ptr<ChannelSlot> m_slot;
   grpc::ClientContext m_context;
+
+private:
   std::atomic<bool> m_silent{ false };
+  // Only the progress alarm and the end of the attempt compete for it.
+  std::mutex m_alarmMutex;
+  bool m_done = false;
+  std::unique_ptr<grpc::Alarm> m_alarm;
 };
 
 class UnaryAttempt final
@@ -94,20 +148,37 @@
       &m_context, m_request.method, {}, &m_request.payload, &m_response, this);
   }
 
-  void Begin() override { StartCall(); }
+  void Begin() override
+  {
+    Watch();
+    StartCall();
+  }
   void ReadNext() override {}
 
   void OnDone(const grpc::Status& aStatus) override
   {
     std::shared_ptr<UnaryAttempt> self = std::move(m_self);
     if (aStatus.ok()) {
+      NoteReceived();
       ReportIds();
-      m_observer.OnFrame(std::move(m_response));
+      // gRPC reports a status without a message as success; passing on the
+      // empty buffer would abort the process.
+      if (m_response.Valid()) {
+        m_observer.OnFrame(std::move(m_response));
+      }
     }
     ReportEnd(aStatus);
   }
 
 private:
+  // A slow response is no sign of a silent connection while responses of other
+  // requests arrive on it.
+  TimePoint LastProgress() override
+  {
+    return std::max(m_start, m_slot->lastReceived.load());
+  }
+
+  TimePoint m_start = MonotonicNow();
   grpc::ByteBuffer m_response;
   std::shared_ptr<UnaryAttempt> m_self;
 };
@@ -149,6 +220,7 @@
       RemoveHold();
       return;
     }
+    NoteReceived();
     ReportIds();
     ReadNext();
   }
@@ -160,6 +232,7 @@
       RemoveHold();
       return;
     }
+    NoteReceived();
     grpc::ByteBuffer frame;
     frame.Swap(&m_frame);
     m_observer.OnFrame(std::move(frame));
@@ -168,53 +241,20 @@
   void OnDone(const grpc::Status& aStatus) override
   {
     std::shared_ptr<StreamAttempt> self = std::move(m_self);
-    {
-      std::lock_guard lock(m_alarmMutex);
-      m_done = true;
-      m_alarm.reset();
-    }
     ReportEnd(aStatus);
   }
 
 private:
-  void Watch()
+  // Time in which the caller takes no frame does not count.
+  TimePoint LastProgress() override
   {
-    std::lock_guard lock(m_alarmMutex);
-    if (m_done) {
-      return;
-    }
-    std::weak_ptr<StreamAttempt> weak = m_self;
-    TimePoint due = m_lastProgress.load() + m_request.progressBound;
-    m_alarm = std::make_unique<grpc::Alarm>();
-    m_alarm->Set(SystemDeadline(due - MonotonicNow()), [weak](bool aOk) {
-      if (auto self = weak.lock(); self && aOk) {
-        self->CheckProgress();
-      }
-    });
-  }
-
-  void CheckProgress()
-  {
-    // Time in which the caller takes no frame does not count.
-    if (!m_reading.load()) {
-      m_lastProgress.store(MonotonicNow());
-    }
-    if (MonotonicNow() < m_lastProgress.load() + m_request.progressBound) {
-      Watch();
-      return;
-    }
-    ReplaceConnection();
-    Cancel();
+    return m_reading.load() ? m_lastProgress.load() : MonotonicNow();
   }
 
   grpc::ByteBuffer m_frame;
   std::atomic<TimePoint> m_lastProgress{ MonotonicNow() };
   // The wait for the response headers counts like a read.
   std::atomic<bool> m_reading{ true };
-  // Only the progress alarm and the end of the attempt compete for it.
-  std::mutex m_alarmMutex;
-  bool m_done = false;
-  std::unique_ptr<grpc::Alarm> m_alarm;
   std::shared_ptr<StreamAttempt> m_self;
 };
 
--- a/wagtailbend/daemon/peer_transport.h
+++ b/wagtailbend/daemon/peer_transport.h
@@ -32,8 +32,13 @@
   std::vector<std::pair<const char*, std::string>> metadata;
   grpc::ByteBuffer payload;
   std::chrono::system_clock::time_point deadline;
-  /// Longest wait for a frame of a streamed response.
+  /// Longest wait for a frame of a streamed response, or for any response on
+  /// the connection of a unary call; zero: no bound. The connection is replaced
+  /// when it passes.
   Duration progressBound{};
+  /// The attempt ends when the bound passes. Otherwise only later attempts use
+  /// the new connection.
+  bool cancelWhenSilent = true;
 };
 
 /// Ids that the callee echoed; empty if missing.
