--- /dev/null
+++ b/wagtailbend/membership/rendezvous.h
@@ -0,0 +1,28 @@
+// Rendezvous hashing with xxHash64: every daemon that sees the same members
+// picks the same ones, and a change of one member moves only its own keys.
+//
+//   for (size_t index : Pick("exchange/ranong", names, 2)) { ... }
+
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace wagtailbend::membership {
+
+/// Returns the xxHash64 of aBytes. Thread-safe.
+uint64_t
+Hash64(std::string_view aBytes, uint64_t aSeed = 0);
+
+/// Returns the indices of at most aCount members with the highest weights for
+/// aKey, highest first. Members must be distinct. Thread-safe.
+std::vector<size_t>
+Pick(std::string_view aKey,
+     std::span<const std::string> aMembers,
+     size_t aCount);
+
+} // namespace wagtailbend::membership
