Add summaries that failure domains exchange

Cause: no daemon holds the list of all targets of other failure domains. Ruled out: expiry of the freshness counters together with the summaries, because a late duplicate would then be taken for new.

--- /dev/null
+++ b/wagtailbend/membership/summary.cc
@@ -0,0 +1,187 @@
+#include "wagtailbend/membership/summary.h"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+
+#include "wagtailbend/membership/gossip_codec.h"
+#include "wagtailbend/membership/rendezvous.h"
+
+namespace wagtailbend::membership {
+namespace {
+
+// Contacts change every few summaries, so that connections are reused.
+constexpr uint64_t kSummariesPerRotation = 30;
+constexpr Duration kSenderRetention = std::chrono::hours(1);
+
+std::vector<std::string>
+PickNames(const std::string& aKey,
+          const std::vector<std::string>& aNames,
+          size_t aCount)
+{
+  std::vector<std::string> picked;
+  picked.reserve(aCount);
+  for (const size_t index : Pick(aKey, aNames, aCount)) {
+    picked.push_back(aNames[index]);
+  }
+  return picked;
+}
+
+} // namespace
+
+DomainSummary
+BuildSummary(const Member& aSelf,
+             uint64_t aFreshness,
+             std::span<const Member> aMembers,
+             const std::map<std::string, double>& aLoads)
+{
+  DomainSummary summary;
+  summary.failureDomain = aSelf.failureDomain;
+  summary.region = aSelf.region;
+  summary.sender = aSelf.id;
+  summary.freshness = aFreshness;
+  for (const Member& member : aMembers) {
+    if (!member.service || !IsLive(member) ||
+        member.state == MemberState::kDraining ||
+        member.failureDomain != aSelf.failureDomain) {
+      continue;
+    }
+    ServiceSummary& service = summary.services[*member.service];
+    ++service.liveTargets;
+    service.slots += member.slots;
+    service.contacts.push_back(member.peerAddress);
+  }
+  for (auto& [name, service] : summary.services) {
+    const auto load = aLoads.find(name);
+    service.load = load == aLoads.end() ? 0 : load->second;
+    service.contacts =
+      PickNames(fmt::format("{}/{}", name, aFreshness / kSummariesPerRotation),
+                service.contacts,
+                kContactsPerService);
+  }
+  return summary;
+}
+
+bool
+IsExchanger(const Member& aSelf, std::span<const Member> aMembers)
+{
+  std::vector<std::string> names;
+  for (const Member& member : aMembers) {
+    if (IsLive(member) && member.failureDomain == aSelf.failureDomain &&
+        member.state != MemberState::kDraining) {
+      names.push_back(member.id.name);
+    }
+  }
+  const std::vector<std::string> picked =
+    PickNames("exchange/" + aSelf.failureDomain, names, kExchangersPerDomain);
+  return std::find(picked.begin(), picked.end(), aSelf.id.name) != picked.end();
+}
+
+std::vector<std::string>
+ExchangeContacts(const Member& aSelf, const DomainSummary& aSummary)
+{
+  std::vector<std::string> contacts;
+  for (const auto& [name, service] : aSummary.services) {
+    contacts.insert(
+      contacts.end(), service.contacts.begin(), service.contacts.end());
+  }
+  std::sort(contacts.begin(), contacts.end());
+  contacts.erase(std::unique(contacts.begin(), contacts.end()), contacts.end());
+  return PickNames(fmt::format("{}/{}", aSelf.id.name, aSummary.freshness),
+                   contacts,
+                   kExchangeContacts);
+}
+
+gossip::DomainSummary
+ToProto(const DomainSummary& aSummary, TimePoint aNow)
+{
+  gossip::DomainSummary wire;
+  wire.set_failure_domain(aSummary.failureDomain);
+  wire.set_region(aSummary.region);
+  *wire.mutable_sender() = ToProto(aSummary.sender);
+  wire.set_freshness(aSummary.freshness);
+  *wire.mutable_config() = ToProto(aSummary.config);
+  for (const auto& [name, service] : aSummary.services) {
+    gossip::ServiceSummary* entry = wire.add_services();
+    entry->set_service(name);
+    entry->set_live_targets(service.liveTargets);
+    entry->set_slots(service.slots);
+    entry->set_load(service.load);
+    entry->mutable_contacts()->Add(service.contacts.begin(),
+                                   service.contacts.end());
+  }
+  for (const QuarantineEntry& entry : aSummary.quarantine) {
+    *wire.add_quarantine() = ToProto(entry, aNow);
+  }
+  return wire;
+}
+
+DomainSummary
+FromProto(const gossip::DomainSummary& aSummary, TimePoint aNow)
+{
+  DomainSummary summary;
+  summary.failureDomain = aSummary.failure_domain();
+  summary.region = aSummary.region();
+  summary.sender = FromProto(aSummary.sender());
+  summary.freshness = aSummary.freshness();
+  summary.config = FromProto(aSummary.config());
+  for (const gossip::ServiceSummary& entry : aSummary.services()) {
+    ServiceSummary& service = summary.services[entry.service()];
+    service = { entry.live_targets(), entry.slots(), entry.load(), {} };
+    service.contacts.assign(entry.contacts().begin(), entry.contacts().end());
+    if (service.contacts.size() > kContactsPerService) {
+      service.contacts.resize(kContactsPerService);
+    }
+  }
+  for (const gossip::QuarantineEntry& wire : aSummary.quarantine()) {
+    if (const auto entry = FromProto(wire, aNow)) {
+      summary.quarantine.push_back(*entry);
+    }
+  }
+  return summary;
+}
+
+bool
+SummaryTable::Merge(const DomainSummary& aSummary, TimePoint aNow)
+{
+  const std::string id = aSummary.sender.ToString();
+  const auto sender = m_senders.find(id);
+  if (sender != m_senders.end() &&
+      aSummary.freshness <= sender->second.freshness) {
+    return false;
+  }
+  m_senders[id] = { aSummary.freshness, aNow };
+  m_domains[aSummary.failureDomain] = { aSummary, aNow };
+  return true;
+}
+
+bool
+SummaryTable::Expire(TimePoint aNow)
+{
+  std::erase_if(m_senders, [&](const auto& aEntry) {
+    return aNow - aEntry.second.receivedAt >= kSenderRetention;
+  });
+  return std::erase_if(m_domains, [&](const auto& aEntry) {
+           return aNow - aEntry.second.receivedAt >= kSummaryLifetime;
+         }) > 0;
+}
+
+const DomainSummary*
+SummaryTable::Latest(const std::string& aFailureDomain) const
+{
+  const auto domain = m_domains.find(aFailureDomain);
+  return domain == m_domains.end() ? nullptr : &domain->second.summary;
+}
+
+std::vector<DomainSummary>
+SummaryTable::All() const
+{
+  std::vector<DomainSummary> summaries;
+  summaries.reserve(m_domains.size());
+  for (const auto& [name, stored] : m_domains) {
+    summaries.push_back(stored.summary);
+  }
+  return summaries;
+}
+
+} // namespace wagtailbend::membership
