Add crash suspects and the quarantine list

Ruled out: a trial at whichever daemon gets the resend, because concurrent resends would then kill a third target; counting losses in gossip as a number, because duplicates would add up; extending the expiry on each merge, because echoes would keep an entry alive; answering a lost request at once, because its sender could then send it again before the other daemons know.

--- /dev/null
+++ b/wagtailbend/quarantine/quarantine_list.cc
@@ -0,0 +1,245 @@
+#include "wagtailbend/quarantine/quarantine_list.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+#include <xxhash.h>
+
+namespace wagtailbend::quarantine {
+namespace {
+
+// Keeps the largest losses, so that a merge gives the same in any order.
+// Returns true if aEntry changed.
+bool
+InsertLoss(Entry& aEntry, uint64_t aLoss)
+{
+  auto& losses = aEntry.losses;
+  if (aLoss <= losses.front() || std::ranges::count(losses, aLoss) > 0) {
+    return false;
+  }
+  losses.front() = aLoss;
+  std::ranges::sort(losses);
+  return true;
+}
+
+} // namespace
+
+uint64_t
+FingerprintOf(std::string_view aMethod, std::string_view aPayload)
+{
+  const uint64_t seed = XXH64(aMethod.data(), aMethod.size(), 0);
+  return XXH64(aPayload.data(), aPayload.size(), seed);
+}
+
+const DaemonId*
+SelectTrialDaemon(uint64_t aFingerprint, std::span<const DaemonId> aLive)
+{
+  const DaemonId* best = nullptr;
+  uint64_t bestScore = 0;
+  for (const DaemonId& daemon : aLive) {
+    const uint64_t score = XXH64(daemon.name.data(),
+                                 daemon.name.size(),
+                                 aFingerprint ^ daemon.incarnation);
+    const bool tie = best != nullptr && score == bestScore;
+    if (best == nullptr || score > bestScore ||
+        (tie && daemon.name.compare(best->name) > 0)) {
+      best = &daemon;
+      bestScore = score;
+    }
+  }
+  return best;
+}
+
+QuarantineList::QuarantineList(DaemonId aSelf, QuarantineLimits aLimits)
+  : m_self(std::move(aSelf))
+  , m_limits(aLimits)
+{
+}
+
+Verdict
+QuarantineList::Check(uint64_t aFingerprint,
+                      std::span<const DaemonId> aLive,
+                      TimePoint aNow) const
+{
+  const Record* record = Find(aFingerprint, aNow);
+  if (record == nullptr) {
+    return { VerdictKind::kPass, {} };
+  }
+  if (record->entry.IsQuarantined()) {
+    return { VerdictKind::kQuarantined, {} };
+  }
+  if (record->entry.cleared) {
+    return { VerdictKind::kPass, {} };
+  }
+  const DaemonId* selected = SelectTrialDaemon(aFingerprint, aLive);
+  if (selected == nullptr) {
+    return { VerdictKind::kQuarantined, {} };
+  }
+  if (*selected == m_self) {
+    return { VerdictKind::kTrialHere, m_self };
+  }
+  return { VerdictKind::kTrialElsewhere, *selected };
+}
+
+bool
+QuarantineList::BeginTrial(uint64_t aFingerprint,
+                           std::span<const DaemonId> aLive,
+                           TimePoint aNow)
+{
+  if (m_trial ||
+      Check(aFingerprint, aLive, aNow).kind != VerdictKind::kTrialHere) {
+    return false;
+  }
+  m_trial = aFingerprint;
+  return true;
+}
+
+std::optional<Entry>
+QuarantineList::EndTrial(uint64_t aFingerprint, bool aSurvived, TimePoint aNow)
+{
+  if (m_trial != aFingerprint) {
+    return std::nullopt;
+  }
+  m_trial.reset();
+  const auto found = m_records.find(aFingerprint);
+  if (!aSurvived || found == m_records.end() ||
+      found->second.expiresAt <= aNow) {
+    return std::nullopt;
+  }
+  found->second.entry.cleared = true;
+  Entry entry = found->second.entry;
+  entry.remaining = found->second.expiresAt - aNow;
+  return entry;
+}
+
+std::vector<Entry>
+QuarantineList::OnTargetLost(std::span<const uint64_t> aInFlight,
+                             TimePoint aNow,
+                             Rng& aRng)
+{
+  m_trial.reset();
+  std::vector<uint64_t> distinct(aInFlight.begin(), aInFlight.end());
+  std::ranges::sort(distinct);
+  distinct.erase(std::unique(distinct.begin(), distinct.end()), distinct.end());
+  std::vector<Entry> entries;
+  entries.reserve(distinct.size());
+  for (const uint64_t fingerprint : distinct) {
+    entries.push_back(AddLoss(fingerprint, aNow, aRng));
+  }
+  return entries;
+}
+
+Entry
+QuarantineList::OnTrialConnectionLost(uint64_t aFingerprint,
+                                      TimePoint aNow,
+                                      Rng& aRng)
+{
+  return AddLoss(aFingerprint, aNow, aRng);
+}
+
+TimePoint
+QuarantineList::ReplyNotBefore(TimePoint aLostAt) const
+{
+  return aLostAt + m_limits.gossipRound;
+}
+
+void
+QuarantineList::Merge(std::span<const Entry> aEntries, TimePoint aNow)
+{
+  for (const Entry& entry : aEntries) {
+    if (entry.remaining <= Duration::zero()) {
+      continue;
+    }
+    Record& record = FindOrInsert(entry.fingerprint, aNow);
+    bool changed = false;
+    for (const uint64_t loss : entry.losses) {
+      changed = InsertLoss(record.entry, loss) || changed;
+    }
+    record.entry.cleared |= entry.cleared;
+    // Known losses do not extend the expiry, or echoes would keep it alive.
+    if (changed) {
+      const Duration remaining = std::min(entry.remaining, m_limits.lifetime);
+      record.expiresAt = std::max(record.expiresAt, aNow + remaining);
+    }
+  }
+}
+
+std::vector<Entry>
+QuarantineList::Export(size_t aMax, TimePoint aNow) const
+{
+  std::vector<Entry> entries;
+  for (const auto& [fingerprint, record] : m_records) {
+    if (record.expiresAt <= aNow) {
+      continue;
+    }
+    entries.push_back(record.entry);
+    entries.back().remaining = record.expiresAt - aNow;
+  }
+  std::ranges::sort(entries, [](const Entry& aLeft, const Entry& aRight) {
+    return std::tuple(aRight.IsQuarantined(), aRight.remaining) <
+           std::tuple(aLeft.IsQuarantined(), aLeft.remaining);
+  });
+  entries.resize(std::min(entries.size(), aMax));
+  return entries;
+}
+
+void
+QuarantineList::Expire(TimePoint aNow)
+{
+  std::erase_if(m_records, [aNow](const auto& aItem) {
+    return aItem.second.expiresAt <= aNow;
+  });
+}
+
+const QuarantineList::Record*
+QuarantineList::Find(uint64_t aFingerprint, TimePoint aNow) const
+{
+  const auto found = m_records.find(aFingerprint);
+  if (found == m_records.end() || found->second.expiresAt <= aNow) {
+    return nullptr;
+  }
+  return &found->second;
+}
+
+QuarantineList::Record&
+QuarantineList::FindOrInsert(uint64_t aFingerprint, TimePoint aNow)
+{
+  const auto found = m_records.find(aFingerprint);
+  if (found != m_records.end()) {
+    if (found->second.expiresAt <= aNow) {
+      found->second = Record{ { aFingerprint }, aNow };
+    }
+    return found->second;
+  }
+  if (m_records.size() >= m_limits.maxEntries) {
+    EvictOne();
+  }
+  return m_records.emplace(aFingerprint, Record{ { aFingerprint }, aNow })
+    .first->second;
+}
+
+void
+QuarantineList::EvictOne()
+{
+  const auto first =
+    std::ranges::min_element(m_records, {}, [](const auto& aItem) {
+      const Record& record = aItem.second;
+      return std::pair(record.entry.IsQuarantined(), record.expiresAt);
+    });
+  m_records.erase(first);
+}
+
+Entry
+QuarantineList::AddLoss(uint64_t aFingerprint, TimePoint aNow, Rng& aRng)
+{
+  Record& record = FindOrInsert(aFingerprint, aNow);
+  // 0 stands for no loss.
+  InsertLoss(record.entry, aRng() | 1);
+  record.expiresAt = aNow + m_limits.lifetime;
+  Entry entry = record.entry;
+  entry.remaining = m_limits.lifetime;
+  return entry;
+}
+
+} // namespace wagtailbend::quarantine
