--- a/testing/path.cmake
+++ b/testing/path.cmake
@@ -1,5 +1,5 @@
 wb_library(wb_deployment SRCS process.cc deployment.cc caller.cc
-
+                unary_caller.cc
            DEPS wb_fake_target PkgConfig::HTTPLIB)
 target_compile_definitions(wb_deployment PRIVATE
   WB_SOURCE_DIR="${CMAKE_SOURCE_DIR}" WB_BIN_DIR="${CMAKE_BINARY_DIR}/bin")
