Run orders at most once through the daemon

Cause: the decision tables of wagtailbend/orders were used by no process, so orders were passed on like lookups and could run twice. Ruled out: the control thread as the owner of the tables, because each order would pass it four times; two mutexes without I/O inside are held instead. Change: OrderBook, HomeDirectory and KeyClaims, the Customer and Peer services, the order part of Bridge, and the hand-over at a planned stop. The payload hash no longer depends on how the payload is cut into slices, because a resend over another connection would count as another payload. Measured before: orders without a ticket were accepted.

--- a/testing/caller.cc
+++ b/testing/caller.cc
@@ -9,7 +9,9 @@
 
 #include "testing/fake_replies.h"
 #include "wagtailbend/answers/response_verifier.h"
+#include "wagtailbend/customer.grpc.pb.h"
 #include "wagtailbend/daemon/metadata.h"
+#include "wagtailbend/orders/ticket.h"
 
 namespace wagtailbend::testing {
 namespace {
@@ -38,6 +40,13 @@
     Rng rng = MakeSeededRng();
     m_record.requestId = RequestId::Random(rng).ToString();
     m_context.AddMetadata(daemon::kRequestIdKey, m_record.requestId);
+    if (!aOptions.ticket.empty()) {
+      m_context.AddMetadata(daemon::kTicketKey, aOptions.ticket);
+    }
+    if (!aOptions.orderKey.empty()) {
+      m_context.AddMetadata(daemon::kOrderKeyKey, aOptions.orderKey);
+    }
+    m_record.ticket = aOptions.ticket;
     m_context.set_deadline(std::chrono::system_clock::now() + aOptions.timeout);
     grpc::Slice slice(RequestFor(*FindMethod(aMethod), aKey));
     m_request = grpc::ByteBuffer(&slice, 1);
@@ -111,10 +120,54 @@
              const std::string& aKey,
              const CallOptions& aOptions)
 {
-  CallReactor reactor(*m_channel, aMethod, aKey, aOptions);
+  CallOptions options = aOptions;
+  // Every order of both schemas; other methods ignore the ticket.
+  const bool order = aMethod.ends_with("/Order") || aMethod.ends_with("/Place");
+  if (order && !options.bare && options.ticket.empty() &&
+      options.orderKey.empty()) {
+    options.ticket = DrawTicket();
+  }
+  CallReactor reactor(*m_channel, aMethod, aKey, options);
   return reactor.Wait();
 }
 
+std::string
+Caller::DrawTicket()
+{
+  std::lock_guard lock(m_mutex);
+  if (m_tickets.empty()) {
+    grpc::ClientContext context;
+    context.set_deadline(std::chrono::system_clock::now() +
+                         std::chrono::seconds(2));
+    peer::DrawTicketsReply reply;
+    customer::Customer::NewStub(m_channel)->DrawTickets(&context, {}, &reply);
+    DaemonId home{ reply.home().name(), reply.home().incarnation() };
+    for (uint32_t i = 0; i < reply.count(); ++i) {
+      m_tickets.push_back(orders::Ticket{ home, reply.block(), i }.ToString());
+    }
+  }
+  if (m_tickets.empty()) {
+    return "";
+  }
+  std::string ticket = m_tickets.back();
+  m_tickets.pop_back();
+  return ticket;
+}
+
+std::string
+Caller::LookupOrder(const std::string& aTicket, const std::string& aOrderKey)
+{
+  grpc::ClientContext context;
+  context.set_deadline(std::chrono::system_clock::now() +
+                       std::chrono::seconds(2));
+  customer::LookupOrderRequest request;
+  request.set_ticket(aTicket);
+  request.set_order_key(aOrderKey);
+  customer::LookupOrderReply reply;
+  auto stub = customer::Customer::NewStub(m_channel);
+  return stub->LookupOrder(&context, request, &reply).ok() ? reply.run() : "";
+}
+
 bool
 IsComplete(const CallRecord& aRecord,
            const std::string& aMethod,
--- a/testing/caller.h
+++ b/testing/caller.h
@@ -9,6 +9,7 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <mutex>
 #include <string>
 #include <vector>
 
@@ -28,6 +29,8 @@
   std::string run;
   std::string frames;
   std::string checksum;
+  /// Ticket that an order was sent with.
+  std::string ticket;
 };
 
 struct CallOptions
@@ -35,6 +38,12 @@
   std::chrono::milliseconds timeout{ 5000 };
   /// Called after each message of a stream, on a gRPC thread.
   std::function<void(size_t aMessages)> onMessage;
+  /// Ticket of an order; empty: a new one is drawn from the daemon called.
+  std::string ticket;
+  /// Idempotency key of an order that is sent without a ticket.
+  std::string orderKey;
+  /// Send an order with nothing but what is set above.
+  bool bare = false;
 };
 
 /// Thread-safe.
@@ -43,6 +52,11 @@
 public:
   explicit Caller(const std::string& aAddress);
 
+  /// Draws a ticket, or returns "" if the daemon issues none.
+  std::string DrawTicket();
+  /// Value of `run` that the daemon reports for an order; "" on failure.
+  std::string LookupOrder(const std::string& aTicket,
+                          const std::string& aOrderKey = "");
   /// Calls and waits for the end. aMethod is a gRPC path, aKey the value of
   /// the key field of the request.
   CallRecord Call(const std::string& aMethod,
@@ -51,6 +65,8 @@
 
 private:
   std::shared_ptr<grpc::Channel> m_channel;
+  std::mutex m_mutex;
+  std::vector<std::string> m_tickets;
 };
 
 /// Returns true if aRecord is the complete response to aKey; aPages and
--- a/testing/deployment.cc
+++ b/testing/deployment.cc
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr auto kStartLimit = std::chrono::seconds(10);
+// Several requests fit into the deadline of an order.
+constexpr int kPlatformTimeoutMs = 300;
 
 } // namespace
 
@@ -59,6 +61,10 @@
         { "http", vm.http } } },
     { "schema_file", m_schema },
   };
+  if (m_platform) {
+    settings["platform"] = { { "url", "http://" + m_platformAddress },
+                             { "timeout_ms", kPlatformTimeoutMs } };
+  }
   std::string file = m_folder + "/" + vm.name + ".json";
   std::ofstream(file) << settings.dump();
   std::vector<std::string> command = { std::string(WB_BIN_DIR) + "/wagtaild",
@@ -99,6 +105,15 @@
 bool
 Deployment::Start()
 {
+  if (m_usePlatform) {
+    m_platform = std::make_unique<Process>(std::vector<std::string>{
+      std::string(WB_BIN_DIR) + "/wagtail-fake-platform",
+      "--listen",
+      m_platformAddress });
+    if (!m_platform->WaitForLine("event=ready", kStartLimit)) {
+      return false;
+    }
+  }
   size_t targets = 0;
   for (size_t i = 0; i < m_vms.size(); ++i) {
     StartDaemon(i);
@@ -135,6 +150,14 @@
   return reply && reply->status == 200;
 }
 
+bool
+Deployment::SetPlatformFault(const std::string& aJson)
+{
+  httplib::Client client("http://" + m_platformAddress);
+  auto reply = client.Post("/v1/faults", aJson, "application/json");
+  return reply && reply->status / 100 == 2;
+}
+
 bool
 Deployment::WaitForTargets(size_t aCount, std::chrono::milliseconds aLimit)
 {
--- a/testing/deployment.h
+++ b/testing/deployment.h
@@ -48,6 +48,10 @@
   /// Starts all processes and waits until every daemon knows every target.
   /// Returns false after 20 s.
   bool Start();
+  /// Makes Start run a platform that all daemons use.
+  void UsePlatform() { m_usePlatform = true; }
+  /// Posts aJson to the fault switch of the platform. Returns false on failure.
+  bool SetPlatformFault(const std::string& aJson);
   Vm& At(size_t aIndex) { return m_vms[aIndex]; }
   /// Posts aJson to the fault switch of the target. Returns false on failure.
   bool SetFault(size_t aIndex, const std::string& aJson);
@@ -65,6 +69,9 @@
   std::string m_schema;
   std::string m_folder;
   std::vector<Vm> m_vms;
+  bool m_usePlatform = false;
+  std::string m_platformAddress = FreeAddress();
+  std::unique_ptr<Process> m_platform;
 };
 
 } // namespace wagtailbend::testing
--- a/wagtailbend/daemon/bridge.cc
+++ b/wagtailbend/daemon/bridge.cc
@@ -33,14 +33,16 @@
   }
 }
 
+// Independent of how the payload is cut into slices: the same order may arrive
+// over connections that cut it differently.
 uint64_t
 HashOf(const grpc::ByteBuffer& aPayload)
 {
-  uint64_t hash = 0;
-  ForEachPart(aPayload, [&hash](std::string_view aPart) {
-    hash = XXH64(aPart.data(), aPart.size(), hash);
-  });
-  return hash;
+  grpc::Slice whole;
+  if (!aPayload.DumpToSingleSlice(&whole).ok()) {
+    return 0;
+  }
+  return XXH64(whole.begin(), whole.size(), 0);
 }
 
 TimePoint
@@ -133,8 +135,19 @@
     reject(ErrorKind::kUnknownMethod, "internal service");
     return;
   }
-  // The own target may still make the downstream calls of its running work.
-  if (m_snapshot->draining && m_context.origin != filters::Origin::kTarget) {
+  bool order =
+    m_traffic.orders && m_context.method->kind == schema::Kind::kOrder;
+  if (auto error = order ? OpenOrder() : std::nullopt) {
+    RejectOrder(std::move(*error));
+    return;
+  }
+  // The own target may still make the downstream calls of its running work. An
+  // order that this daemon is not to run may have run before: the table of its
+  // home decides.
+  bool decidedHere =
+    m_order.role == OrderRole::kNone || m_order.role == OrderRole::kExecutor;
+  if (m_snapshot->draining && m_context.origin != filters::Origin::kTarget &&
+      decidedHere) {
     reject(ErrorKind::kDraining, "this daemon is leaving");
     return;
   }
@@ -153,6 +166,10 @@
     FinishWithError(std::move(*error), run, nullptr);
     return;
   }
+  if (m_order.role == OrderRole::kEntry) {
+    BeginOrder();
+    return;
+  }
   if (m_context.origin != filters::Origin::kPeer || !m_traffic.gate) {
     StartAttempt();
     return;
@@ -193,21 +210,34 @@
       { ErrorKind::kAttemptsExhausted, "" }, RunState::kNotRun, nullptr);
     return;
   }
-  m_attemptId = m_context.origin == filters::Origin::kPeer
+  if (auto error = StartOrder()) {
+    RunState run = AnswerFor(error->kind).runState;
+    FinishWithError(std::move(*error), run, nullptr);
+    return;
+  }
+  m_tried.push_back(m_destination->daemon);
+  m_traffic.counters.attempts.fetch_add(1, std::memory_order_relaxed);
+  m_traffic.chooser->OnStart(*m_destination, now);
+  Send(*allotted);
+}
+
+// Precondition: m_destination is set.
+void
+Bridge::Send(uint32_t aAllotted)
+{
+  TimePoint now = MonotonicNow();
+  m_attemptId = m_context.origin == filters::Origin::kPeer && !m_context.relayed
                   ? m_context.attemptId
                   : AttemptId::Random(ThreadRng());
   m_attemptStart = now;
   m_attemptError.reset();
-  m_tried.push_back(m_destination->daemon);
   m_verifier.emplace(m_context.requestId,
                      m_attemptId,
                      m_context.method->serverStreaming,
                      m_traffic.progressBound,
                      now);
-  m_traffic.counters.attempts.fetch_add(1, std::memory_order_relaxed);
-  m_traffic.chooser->OnStart(*m_destination, now);
   auto attempt =
-    m_traffic.transport->Prepare(MakeAttemptRequest(*allotted), *this);
+    m_traffic.transport->Prepare(MakeAttemptRequest(aAllotted), *this);
   if (Publish(attempt)) {
     attempt->Cancel();
   }
@@ -240,7 +270,8 @@
   metadata.emplace_back(kAttemptsKey, fmt::format_int(aAllotted).str());
   metadata.emplace_back(kPriorityKey,
                         fmt::format_int(m_context.priority).str());
-  if (!m_destination->own) {
+  // Without it a daemon takes an order for one that it is the home of.
+  if (!m_destination->own && m_order.role != OrderRole::kRelay) {
     metadata.emplace_back(kIncarnationKey,
                           ToHex(m_destination->daemon.incarnation));
   }
@@ -268,7 +299,8 @@
   constexpr int kEntryShare = 2;
   constexpr int kIngressShare = 3;
   Duration left = m_context.deadline - m_attemptStart;
-  bool ingress = m_context.origin == filters::Origin::kPeer;
+  bool ingress =
+    m_context.origin == filters::Origin::kPeer && !m_context.relayed;
   return std::min(left / (ingress ? kIngressShare : kEntryShare),
                   m_traffic.progressBound);
 }
@@ -280,7 +312,7 @@
 {
   std::lock_guard lock(m_attemptMutex);
   m_attempt = aAttempt;
-  return m_cancelled.load();
+  return Abandoned();
 }
 
 void
@@ -292,7 +324,7 @@
     m_cancelled.store(true);
     attempt = m_attempt;
   }
-  if (attempt) {
+  if (attempt && Abandoned()) {
     attempt->Cancel();
   }
 }
@@ -319,7 +351,7 @@
     m_attemptError = m_verifier->OnFrame(aFrame.Length(), MonotonicNow());
   }
   bool streamed = m_context.method->serverStreaming;
-  if (m_attemptError || m_cancelled.load()) {
+  if (m_attemptError || Abandoned()) {
     // Frames of a rejected response are read and dropped until it ends.
     if (streamed) {
       m_attempt->Cancel();
--- a/wagtailbend/daemon/bridge.h
+++ b/wagtailbend/daemon/bridge.h
@@ -15,6 +15,7 @@
 #include <grpcpp/generic/async_generic_service.h>
 
 #include "wagtailbend/answers/response_verifier.h"
+#include "wagtailbend/daemon/bridge_order.h"
 #include "wagtailbend/daemon/traffic.h"
 
 namespace wagtailbend::daemon {
@@ -57,6 +58,25 @@
   void FinishComplete(const AttemptEnd& aEnd);
   void SendIds();
   void Leave(const filters::Outcome& aOutcome);
+  bool Abandoned() const;
+  void NoteFailure(const Error& aError, const AttemptEnd& aEnd);
+  void Send(uint32_t aAllotted);
+
+  // Orders, in bridge_order.cc.
+  std::optional<Error> OpenOrder();
+  std::optional<Error> AcceptGrant(std::string_view aIncarnation);
+  void BeginOrder();
+  void ClaimKey();
+  void RelayOrder(const DaemonId& aHome, std::shared_ptr<PeerLink> aLink);
+  void ReplayOrder(const orders::StoredResponse& aResponse);
+  void RejectOrder(Error aError);
+  std::optional<Error> StartOrder();
+  void EndGrant(std::optional<Error> aError,
+                RunState aRun,
+                const AttemptEnd& aEnd);
+  void AskNotStarted(Error aError);
+  void SettleGrant(Error aError, bool aNotStarted);
+  void ConfirmRunState(Error& aError, RunState& aRun);
 
   Traffic& m_traffic;
   grpc::GenericCallbackServerContext& m_serverContext;
@@ -84,8 +104,12 @@
   // An earlier attempt may have run the request.
   bool m_mayHaveRun = false;
   uint64_t m_responseBytes = 0;
+  OrderProgress m_order;
 
   std::atomic<bool> m_cancelled{ false };
+  // The attempt goes on without the caller. Set before the attempt is visible
+  // to OnCancel.
+  std::atomic<bool> m_detached{ false };
   // Guards m_attempt against OnCancel; never held while gRPC is called with
   // the chance of a callback on the same thread.
   std::mutex m_attemptMutex;
--- a/wagtailbend/daemon/bridge_end.cc
+++ b/wagtailbend/daemon/bridge_end.cc
@@ -38,7 +38,7 @@
 Bridge::ErrorOf(const AttemptEnd& aEnd, RunState& aRun)
 {
   aRun = RunState::kMayHaveRun;
-  if (m_cancelled.load()) {
+  if (Abandoned()) {
     return Error{ ErrorKind::kCancelled, "cancelled by the caller" };
   }
   if (aEnd.silent) {
@@ -76,15 +76,22 @@
   RunState run = RunState::kRan;
   std::optional<Error> error = ErrorOf(aEnd, run);
   TimePoint now = MonotonicNow();
-  m_traffic.chooser->OnEnd(*m_destination,
-                           { error ? std::optional(error->kind) : std::nullopt,
-                             now - m_attemptStart,
-                             aEnd.threshold },
-                           now);
+  if (m_order.role != OrderRole::kRelay) {
+    m_traffic.chooser->OnEnd(
+      *m_destination,
+      { error ? std::optional(error->kind) : std::nullopt,
+        now - m_attemptStart,
+        aEnd.threshold },
+      now);
+  }
   {
     std::lock_guard lock(m_attemptMutex);
     m_attempt.reset();
   }
+  if (m_order.grant) {
+    EndGrant(std::move(error), run, aEnd);
+    return;
+  }
   if (error) {
     FailAttempt(std::move(*error), run, aEnd);
     return;
@@ -92,8 +99,15 @@
   FinishComplete(aEnd);
 }
 
+// The caller has left and the attempt serves nobody else.
+bool
+Bridge::Abandoned() const
+{
+  return m_cancelled.load() && !m_detached.load();
+}
+
 void
-Bridge::FailAttempt(Error aError, RunState aRun, const AttemptEnd& aEnd)
+Bridge::NoteFailure(const Error& aError, const AttemptEnd& aEnd)
 {
   if (aError.kind == ErrorKind::kAnswerMismatch) {
     m_traffic.counters.mismatches.fetch_add(1, std::memory_order_relaxed);
@@ -101,6 +115,14 @@
   if (aEnd.unreachable && m_traffic.events) {
     m_traffic.events->OnUnreachable(*m_destination);
   }
+}
+
+void
+Bridge::FailAttempt(Error aError, RunState aRun, const AttemptEnd& aEnd)
+{
+  NoteFailure(aError, aEnd);
+  // An executor or a home passes on what it was told.
+  m_order.settled = m_order.role != OrderRole::kNone;
   m_silenceSeen = m_silenceSeen || aEnd.silent;
   m_mayHaveRun = m_mayHaveRun || aRun != RunState::kNotRun;
   if (MayRetry(aError, aRun)) {
@@ -122,7 +144,8 @@
 Bridge::MayRetry(const Error& aError, RunState aRun) const
 {
   const schema::Method& method = *m_context.method;
-  if (m_context.origin == filters::Origin::kPeer || m_framePassedOn ||
+  if (m_order.role == OrderRole::kRelay ||
+      m_context.origin == filters::Origin::kPeer || m_framePassedOn ||
       m_cancelled.load() || !AnswerFor(aError.kind).retryable) {
     return false;
   }
@@ -139,6 +162,7 @@
                         RunState aRun,
                         const grpc::Status* aStatus)
 {
+  ConfirmRunState(aError, aRun);
   const ErrorAnswer& answer = AnswerFor(aError.kind);
   m_traffic.counters.errors[static_cast<size_t>(aError.kind)].fetch_add(
     1, std::memory_order_relaxed);
--- a/wagtailbend/daemon/control.cc
+++ b/wagtailbend/daemon/control.cc
@@ -14,6 +14,8 @@
 
 constexpr Duration kTickInterval = std::chrono::milliseconds(50);
 constexpr Duration kDrainCheckInterval = std::chrono::milliseconds(20);
+// Late expiry of orders costs only memory.
+constexpr Duration kOrderExpiryInterval = std::chrono::seconds(1);
 // A seed on a silent connection must not hold a pool thread for longer.
 constexpr int kSeedTimeoutMs = 300;
 
@@ -47,11 +49,15 @@
       Destination{ m_id, m_channels.Link(m_target.Target()->address), true };
   }
   for (const PeerState& peer : m_seeds.Peers()) {
-    if (peer.service.empty() || peer.daemon.name == m_id.name) {
+    if (peer.daemon.name == m_id.name) {
       continue;
     }
-    snapshot->peers[peer.service].push_back(
-      Destination{ peer.daemon, m_channels.Link(peer.peerAddress), false });
+    auto link = m_channels.Link(peer.peerAddress);
+    snapshot->daemons[peer.daemon] = link;
+    if (!peer.service.empty()) {
+      snapshot->peers[peer.service].push_back(
+        Destination{ peer.daemon, std::move(link), false });
+    }
   }
   m_traffic.snapshots.Store(std::move(snapshot));
 }
@@ -62,6 +68,14 @@
   if (m_target.Expire(MonotonicNow())) {
     Publish();
   }
+  TimePoint now = MonotonicNow();
+  if (m_orders->claims) {
+    m_orders->claims->Expire(now);
+  }
+  if (now >= m_nextOrderExpiry) {
+    m_orders->book.Expire(now);
+    m_nextOrderExpiry = now + kOrderExpiryInterval;
+  }
   m_tickTimer.expires_after(kTickInterval);
   m_tickTimer.async_wait([this](const std::error_code& aCode) {
     if (!aCode) {
@@ -119,13 +133,34 @@
   m_drainDeadline = MonotonicNow() + std::chrono::milliseconds(
                                        m_options.settings.drainTimeoutMs);
   Publish();
+  m_handOver->Begin();
   CheckDrained();
 }
 
+// Daemons of the same failure domain; those whose target takes work come first,
+// because the others may be leaving as well.
+std::vector<SuccessorCandidate>
+Daemon::Successors()
+{
+  std::vector<SuccessorCandidate> working;
+  std::vector<SuccessorCandidate> others;
+  for (const PeerState& peer : m_seeds.Peers()) {
+    if (peer.failureDomain == m_options.settings.failureDomain &&
+        peer.daemon.name != m_id.name) {
+      (peer.service.empty() ? others : working)
+        .push_back({ peer.daemon, m_channels.Link(peer.peerAddress) });
+    }
+  }
+  working.insert(working.end(), others.begin(), others.end());
+  return working;
+}
+
 void
 Daemon::CheckDrained()
 {
-  bool drained = m_traffic.counters.InFlight() == 0;
+  bool handedOver =
+    m_handOver->Advance(MonotonicNow(), m_drainDeadline, Successors());
+  bool drained = handedOver && m_traffic.counters.InFlight() == 0;
   if (!drained && MonotonicNow() < m_drainDeadline) {
     m_drainTimer.expires_after(kDrainCheckInterval);
     m_drainTimer.async_wait([this](const std::error_code& aCode) {
--- a/wagtailbend/daemon/daemon.cc
+++ b/wagtailbend/daemon/daemon.cc
@@ -10,7 +10,9 @@
 
 #include "wagtailbend/daemon/bridge.h"
 #include "wagtailbend/daemon/grpc_transport.h"
+#include "wagtailbend/daemon/order_services.h"
 #include "wagtailbend/filters/deadline_filter.h"
+#include "wagtailbend/platform/http_platform.h"
 
 namespace wagtailbend::daemon {
 namespace {
@@ -74,6 +76,9 @@
   daemon->m_schema = std::make_shared<const schema::Schema>(
     TakeValue(std::move(compiled)).schema);
   daemon->WireTraffic();
+  if (auto error = daemon->WireOrders()) {
+    return *error;
+  }
   daemon->Publish();
   if (auto error = daemon->Listen()) {
     return *error;
@@ -96,6 +101,28 @@
   }
 }
 
+std::optional<Error>
+Daemon::WireOrders()
+{
+  const settings::Settings& settings = m_options.settings;
+  m_orders = std::make_unique<OrderParts>(m_id);
+  m_handOver = std::make_unique<OrderHandOver>(m_orders->book);
+  m_traffic.orders = m_orders.get();
+  if (settings.platformUrl.empty()) {
+    return std::nullopt;
+  }
+  const Duration timeout =
+    std::chrono::milliseconds(settings.platformTimeoutMs);
+  auto platform =
+    platform::HttpPlatform::Create(settings.platformUrl, { timeout, timeout });
+  if (const Error* error = GetError(platform)) {
+    return *error;
+  }
+  m_orders->claims =
+    std::make_unique<KeyClaims>(TakeValue(std::move(platform)), m_orders->book);
+  return std::nullopt;
+}
+
 std::unique_ptr<grpc::Server>
 Daemon::ListenOn(const std::string& aAddress, filters::Origin aOrigin)
 {
@@ -105,6 +132,17 @@
   int port = 0;
   builder.AddListeningPort(aAddress, grpc::InsecureServerCredentials(), &port);
   builder.RegisterCallbackGenericService(service.get());
+  const OrderServiceContext context{
+    *m_orders, m_traffic.snapshots, m_channels, m_options.settings.peerAddress
+  };
+  std::unique_ptr<grpc::Service> orders;
+  if (aOrigin == filters::Origin::kPeer) {
+    orders = std::make_unique<PeerService>(context);
+  } else {
+    orders = std::make_unique<CustomerService>(context);
+  }
+  builder.RegisterService(orders.get());
+  m_orderServices.push_back(std::move(orders));
   builder.SetMaxReceiveMessageSize(kMaxMessageBytes);
   // Another process on the same address must be noticed, not shared with.
   builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
--- a/wagtailbend/daemon/daemon.h
+++ b/wagtailbend/daemon/daemon.h
@@ -19,6 +19,8 @@
 #include "wagtailbend/base/result.h"
 #include "wagtailbend/daemon/http_pages.h"
 #include "wagtailbend/daemon/options.h"
+#include "wagtailbend/daemon/order_hand_over.h"
+#include "wagtailbend/daemon/order_parts.h"
 #include "wagtailbend/daemon/seed_directory.h"
 #include "wagtailbend/daemon/target_registry.h"
 #include "wagtailbend/daemon/traffic.h"
@@ -51,6 +53,7 @@
   std::unique_ptr<grpc::Server> ListenOn(const std::string& aAddress,
                                          filters::Origin aOrigin);
   void WireTraffic();
+  std::optional<Error> WireOrders();
   HttpHandlers MakeHandlers();
 
   /// Runs aWork on the control thread and waits for its result.
@@ -65,6 +68,7 @@
   void FetchSeeds();
   void BeginDrain();
   void CheckDrained();
+  std::vector<SuccessorCandidate> Successors();
   PeerState Self() const;
   std::string StatusDocument() const;
   std::string MetricsText() const;
@@ -73,6 +77,7 @@
   DaemonId m_id;
   std::shared_ptr<const schema::Schema> m_schema;
   ChannelPool m_channels{ KeepAlive{} };
+  std::unique_ptr<OrderParts> m_orders;
   Traffic m_traffic;
 
   asio::io_context m_control;
@@ -87,9 +92,12 @@
   size_t m_fetchesPending = 0;
   bool m_draining = false;
   TimePoint m_drainDeadline;
+  TimePoint m_nextOrderExpiry;
+  std::unique_ptr<OrderHandOver> m_handOver;
   int m_exitStatus = 0;
 
   std::vector<std::unique_ptr<Service>> m_services;
+  std::vector<std::unique_ptr<grpc::Service>> m_orderServices;
   std::vector<std::unique_ptr<grpc::Server>> m_servers;
   std::unique_ptr<HttpPages> m_pages;
 };
--- a/wagtailbend/daemon/policies.cc
+++ b/wagtailbend/daemon/policies.cc
@@ -20,11 +20,13 @@
     aSnapshot.ownService == service && aSnapshot.ownTarget
       ? &*aSnapshot.ownTarget
       : nullptr;
-  if (own && (aContext.origin == filters::Origin::kPeer || !tried(*own))) {
+  // A peer's request ends here: passing it on again could form a loop.
+  const bool ends =
+    aContext.origin == filters::Origin::kPeer && !aContext.relayed;
+  if (own && (ends || !tried(*own))) {
     return own;
   }
-  // A peer's request ends here: passing it on again could form a loop.
-  if (aContext.origin == filters::Origin::kPeer) {
+  if (ends) {
     return nullptr;
   }
   auto found = aSnapshot.peers.find(service);
--- a/wagtailbend/daemon/routing_snapshot.h
+++ b/wagtailbend/daemon/routing_snapshot.h
@@ -38,6 +38,8 @@
   std::string ownService;
   /// Targets in other VMs by service.
   std::map<std::string, std::vector<Destination>, std::less<>> peers;
+  /// Peer addresses of all daemons that are alive, with or without a target.
+  std::map<DaemonId, std::shared_ptr<PeerLink>> daemons;
   /// New work is rejected.
   bool draining = false;
 };
--- a/wagtailbend/daemon/traffic.h
+++ b/wagtailbend/daemon/traffic.h
@@ -6,6 +6,7 @@
 #include <atomic>
 #include <memory>
 
+#include "wagtailbend/daemon/order_parts.h"
 #include "wagtailbend/daemon/peer_transport.h"
 #include "wagtailbend/daemon/policies.h"
 #include "wagtailbend/daemon/routing_snapshot.h"
@@ -61,6 +62,8 @@
   std::unique_ptr<TargetChooser> chooser;
   std::unique_ptr<AttemptPolicy> attempts;
   TrafficEvents* events = nullptr;
+  /// Null: orders are passed on like other calls.
+  OrderParts* orders = nullptr;
   Duration progressBound{};
   TrafficCounters counters;
 };
--- a/wagtailbend/filters/request_context.h
+++ b/wagtailbend/filters/request_context.h
@@ -32,6 +32,9 @@
   /// Row of the schema; lives as long as the snapshot that the request holds.
   const schema::Method* method = nullptr;
   Origin origin = Origin::kCustomer;
+  /// A peer passed the order on to this daemon as its home. Unlike other calls
+  /// of peers it may go to targets of other daemons.
+  bool relayed = false;
   RequestId requestId;
   /// Attempt under which the caller knows this request; echoed to the caller.
   AttemptId attemptId;
