--- a/programs/wagtail_load.cc
+++ b/programs/wagtail_load.cc
@@ -136,7 +136,7 @@
     client.Call(
       std::move(request),
       [&aRecorder, &messages, arrival, key, path = method.path](
-        client::CallResult aResult) {
+        const client::CallResult& aResult) {
         const bool own =
           !aResult.error && messages.IsOwnResponse(path, key, aResult.messages);
         aRecorder.Record({ arrival, aResult.latency, Judge(aResult, own) });
--- a/wagtailbend/client/customer_client.cc
+++ b/wagtailbend/client/customer_client.cc
@@ -233,7 +233,7 @@
   std::unique_ptr<Exchange> m_exchange;
 };
 
-CustomerClient::CustomerClient(std::vector<std::string> aDaemons,
+CustomerClient::CustomerClient(const std::vector<std::string>& aDaemons,
                                uint64_t aSeed)
   : m_rng(aSeed)
 {
@@ -262,7 +262,7 @@
     ++m_outstanding;
   }
   pending->SetDaemon(chosen ? *chosen : PickDaemon(std::nullopt));
-  Dispatch(std::move(pending));
+  Dispatch(pending);
 }
 
 CallResult
@@ -287,12 +287,13 @@
 }
 
 void
-CustomerClient::Dispatch(std::shared_ptr<Pending> aPending)
+CustomerClient::Dispatch(const std::shared_ptr<Pending>& aPending)
 {
   std::shared_ptr<grpc::Channel> channel;
   RequestId requestId;
   AttemptId attemptId;
   const size_t index = aPending->DaemonIndex();
+  bool waits = false;
   bool draw = false;
   {
     const std::lock_guard lock(m_mutex);
@@ -302,7 +303,8 @@
         daemon.tickets.clear();
       }
       if (daemon.tickets.empty()) {
-        daemon.waiting.push_back(std::move(aPending));
+        daemon.waiting.push_back(aPending);
+        waits = true;
         draw = !daemon.drawing;
         daemon.drawing = true;
       } else {
@@ -314,7 +316,7 @@
     requestId = RequestId::Random(m_rng);
     attemptId = AttemptId::Random(m_rng);
   }
-  if (aPending) {
+  if (!waits) {
     aPending->Send(*channel, requestId, attemptId);
   } else if (draw) {
     DrawTickets(index);
@@ -357,9 +359,9 @@
           std::chrono::milliseconds(draw->reply.expires_in_ms()) -
           kTicketMargin;
       }
-      for (std::shared_ptr<Pending>& pending : waiting) {
+      for (const std::shared_ptr<Pending>& pending : waiting) {
         if (drawn) {
-          Dispatch(std::move(pending));
+          Dispatch(pending);
           continue;
         }
         // Nothing was sent without a ticket, so another daemon may be asked.
--- a/wagtailbend/client/customer_client.h
+++ b/wagtailbend/client/customer_client.h
@@ -63,7 +63,7 @@
   using Callback = std::function<void(CallResult)>;
 
   /// aDaemons: customer addresses "IP:port". Precondition: not empty.
-  CustomerClient(std::vector<std::string> aDaemons, uint64_t aSeed);
+  CustomerClient(const std::vector<std::string>& aDaemons, uint64_t aSeed);
   /// Waits for all outstanding calls.
   ~CustomerClient();
   CustomerClient(const CustomerClient&) = delete;
@@ -97,7 +97,7 @@
   };
 
   size_t PickDaemon(std::optional<size_t> aExcluded);
-  void Dispatch(std::shared_ptr<Pending> aPending);
+  void Dispatch(const std::shared_ptr<Pending>& aPending);
   void DrawTickets(size_t aDaemon);
   void Finished();
 
