--- a/wagtailbend/schema/compile.cc
+++ b/wagtailbend/schema/compile.cc
@@ -83,8 +83,10 @@
 class Builder
 {
 public:
-  explicit Builder(Problems& aProblems)
+  // aFile names problems of the whole schema while no file has been added.
+  Builder(Problems& aProblems, std::string aFile)
     : m_problems(aProblems)
+    , m_file(std::move(aFile))
   {
   }
 
@@ -309,7 +311,10 @@
 BuildSchema(const pb::FileDescriptorSet& aSet)
 {
   Problems problems;
-  Builder builder(problems);
+  // Imports come first, the schema file itself last.
+  Builder builder(problems,
+                  aSet.file_size() > 0 ? aSet.file(aSet.file_size() - 1).name()
+                                       : std::string("descriptor set"));
   for (const auto& file : aSet.file()) {
     if (file.service_size() > 0 ||
         Reparse(file.options()).HasExtension(wagtailbend::deployment)) {
--- a/wagtailbend/schema/schema_test.cc
+++ b/wagtailbend/schema/schema_test.cc
@@ -41,6 +41,18 @@
   EXPECT_EQ(order->kind, Kind::kOrder);
 }
 
+// Guards against a report without a file name when the file holds neither a
+// deployment nor a service.
+TEST(SchemaTest, FileWithoutPoliciesIsNamedInTheReport)
+{
+  const std::string file = testing::TempDir() + "/no_policies.proto";
+  std::ofstream(file) << "syntax = \"proto3\"; package bad;";
+  auto compiled = CompileSchemaFile(file, {});
+  ASSERT_FALSE(IsOk(compiled));
+  EXPECT_THAT(GetError(compiled)->detail,
+              HasSubstr("no_policies.proto: service: the schema declares"));
+}
+
 struct BadSchemaCase
 {
   const char* name;
