--- a/programs/wagtailctl.cc
+++ b/programs/wagtailctl.cc
@@ -172,9 +172,11 @@
     { "settings check",
       { "FILE", "Validate a settings file", {}, 1, CheckSettings } },
     { "apply",
-      { "FILE --platform URL --daemons HOST:PORT,... [--change-id ID] [--wait]",
-        "Accept a schema as the new configuration and push it to daemons",
-        { "platform", "daemons" },
+      { "FILE --platform URL [--daemons HOST:PORT,...] [--change-id ID] "
+        "[--wait]",
+        "Accept a schema as the new configuration and push it to daemons; "
+        "other daemons poll for it",
+        { "platform" },
         1,
         RunApply } },
     { "status",
--- a/programs/wagtailctl_apply.cc
+++ b/programs/wagtailctl_apply.cc
@@ -135,11 +135,12 @@
                               accepted->version.version,
                               accepted->version.changeId,
                               accepted->version.digest);
-  return Distribute(aOptions["daemons"].as<std::vector<std::string>>(),
-                    accepted->version,
-                    body,
-                    aOptions.count("wait") != 0,
-                    aStreams);
+  std::vector<std::string> daemons;
+  if (aOptions.count("daemons")) {
+    daemons = aOptions["daemons"].as<std::vector<std::string>>();
+  }
+  return Distribute(
+    daemons, accepted->version, body, aOptions.count("wait") != 0, aStreams);
 }
 
 } // namespace wagtailbend::ctl
--- a/programs/wagtailctl_test.cc
+++ b/programs/wagtailctl_test.cc
@@ -110,6 +110,14 @@
   EXPECT_THAT(m_out.str(), HasSubstr("version=1 change_id=c1"));
 }
 
+// Guards against a first configuration that cannot be accepted because no
+// daemon runs yet.
+TEST_F(CtlTest, ApplyNeedsNoDaemon)
+{
+  EXPECT_EQ(Run({ "apply", m_schema, "--platform", m_server.Url() }), kExitOk);
+  EXPECT_THAT(m_out.str(), HasSubstr("accepted version=1"));
+}
+
 // Guards against a report that a configuration is in force where it is not.
 TEST_F(CtlTest, ApplyReportsAndWaitsForDaemons)
 {
