--- a/wagtailbend/membership/internal/news_queue.cc
+++ b/wagtailbend/membership/internal/news_queue.cc
@@ -7,18 +7,21 @@
 
 // After a few updates that do not fit the datagram counts as full.
 constexpr int kMaxRefused = 3;
+// Above any number of sends.
+constexpr uint32_t kOrdinary = 1U << 20U;
 
 } // namespace
 
 void
-NewsQueue::Put(const std::string& aKey)
+NewsQueue::Put(const std::string& aKey, bool aUrgent)
 {
-  const auto [entry, added] = m_sends.try_emplace(aKey, 0);
+  const uint32_t rank = aUrgent ? 0 : kOrdinary;
+  const auto [entry, added] = m_ranks.try_emplace(aKey, rank);
   if (!added) {
     m_order.erase({ entry->second, aKey });
-    entry->second = 0;
+    entry->second = rank;
   }
-  m_order.emplace(0, aKey);
+  m_order.emplace(rank, aKey);
 }
 
 void
@@ -35,15 +38,15 @@
       ++item;
       continue;
     }
-    if (visit == Visit::kSent && item->first + 1 < aMaxSends) {
+    if (visit == Visit::kSent && item->first % kOrdinary + 1 < aMaxSends) {
       taken.emplace_back(item->first + 1, item->second);
     } else {
-      m_sends.erase(item->second);
+      m_ranks.erase(item->second);
     }
     item = m_order.erase(item);
   }
   for (auto& item : taken) {
-    m_sends[item.second] = item.first;
+    m_ranks[item.second] = item.first;
     m_order.insert(std::move(item));
   }
 }
--- a/wagtailbend/membership/internal/news_queue.h
+++ b/wagtailbend/membership/internal/news_queue.h
@@ -22,8 +22,9 @@
     kGone,
   };
 
-  /// Queues aKey, or restarts its count if it is queued.
-  void Put(const std::string& aKey);
+  /// Queues aKey, or restarts its count if it is queued. Urgent keys come
+  /// before all others.
+  void Put(const std::string& aKey, bool aUrgent = false);
   /// Offers the keys in order until aVisit has refused kMaxRefused of them.
   /// A key that was sent aMaxSends times, or is gone, is dropped.
   void Take(uint32_t aMaxSends,
@@ -31,7 +32,8 @@
   bool IsEmpty() const { return m_order.empty(); }
 
 private:
-  std::map<std::string, uint32_t> m_sends;
+  /// Rank of each key: the number of sends, plus kOrdinary if not urgent.
+  std::map<std::string, uint32_t> m_ranks;
   std::set<std::pair<uint32_t, std::string>> m_order;
 };
 
--- a/wagtailbend/membership/swim_messages.cc
+++ b/wagtailbend/membership/swim_messages.cc
@@ -35,6 +35,14 @@
   return std::string(kMemberKey) + aName;
 }
 
+// Drain news has a bound of 3 s, also while many daemons restart.
+bool
+IsUrgent(const Member& aMember)
+{
+  return aMember.state == MemberState::kDraining ||
+         aMember.state == MemberState::kLeft;
+}
+
 size_t
 RoomLeft(const gossip::Envelope& aEnvelope)
 {
@@ -275,7 +283,7 @@
   if (const Record* record = m_table.Apply(aMember, aNow)) {
     ++m_revision;
     if (record->relay) {
-      m_news.Put(MemberKey(aMember.id.name));
+      m_news.Put(MemberKey(aMember.id.name), IsUrgent(aMember));
     }
   }
 }
@@ -284,7 +292,7 @@
 Swim::AnnounceSelf()
 {
   ++m_revision;
-  m_news.Put(MemberKey(m_self.id.name));
+  m_news.Put(MemberKey(m_self.id.name), IsUrgent(m_self));
 }
 
 void
