Take test ports from below the ephemeral range

Cause: one of the first full runs failed in path_fault_test with "cannot listen on 127.0.0.1:48395": an outgoing connection had taken the port between FreeAddress and the start of the daemon.

Ruled out: a second try in the tests, which would hide a daemon that cannot listen.

Change: ports come from 10000 to 31999, from a random start, each checked by binding it. Ephemeral ports start at 32768 on this machine.

Conclusion: the cause is removed; programs that listen in that range can still collide.

--- a/testing/process.cc
+++ b/testing/process.cc
@@ -1,5 +1,6 @@
 #include "testing/process.h"
 
+#include <atomic>
 #include <csignal>
 #include <cstdio>
 #include <fstream>
@@ -14,6 +15,8 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include "wagtailbend/base/rng.h"
+
 namespace wagtailbend::testing {
 
 namespace {
@@ -132,21 +135,40 @@
   return all;
 }
 
-std::string
-FreeAddress()
+namespace {
+
+bool
+IsFree(uint16_t aPort)
 {
   int file = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   sockaddr_in address{};
   address.sin_family = AF_INET;
   address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  socklen_t size = sizeof(address);
-  auto* generic = reinterpret_cast<sockaddr*>(&address);
-  if (file < 0 || bind(file, generic, size) != 0 ||
-      getsockname(file, generic, &size) != 0) {
-    throw std::runtime_error("no free port");
-  }
+  address.sin_port = htons(aPort);
+  bool isFree =
+    bind(file, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) ==
+    0;
   close(file);
-  return "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
+  return isFree;
+}
+
+} // namespace
+
+std::string
+FreeAddress()
+{
+  // Below the range of ephemeral ports: one of those can be taken by an
+  // outgoing connection before the program under test listens on it.
+  constexpr int kFirst = 10000;
+  constexpr int kCount = 22000;
+  static std::atomic<int> next{ static_cast<int>(MakeSeededRng()() % kCount) };
+  for (int i = 0; i < kCount; ++i) {
+    int port = kFirst + next.fetch_add(1) % kCount;
+    if (IsFree(static_cast<uint16_t>(port))) {
+      return "127.0.0.1:" + std::to_string(port);
+    }
+  }
+  throw std::runtime_error("no free port");
 }
 
 ProcessUsage
