--- a/benchmarks/latency_bench.cc
+++ b/benchmarks/latency_bench.cc
@@ -77,9 +77,11 @@
 {
   std::mutex mutex;
   std::vector<std::thread> threads;
+  threads.reserve(aThreads);
   for (size_t i = 0; i < aThreads; ++i) {
     threads.emplace_back([&] {
       std::vector<std::unique_ptr<UnaryCaller>> callers;
+      callers.reserve(aRoutes.size());
       std::vector<std::vector<double>> times(aRoutes.size());
       for (const Route& route : aRoutes) {
         callers.push_back(std::make_unique<UnaryCaller>(route.address));
--- a/programs/wagtaild.cc
+++ b/programs/wagtaild.cc
@@ -6,12 +6,14 @@
 #include <fmt/format.h>
 
 #include "wagtailbend/daemon/daemon.h"
+#include "wagtailbend/observability/event_log.h"
 
 namespace {
 
 using wagtailbend::Error;
 using wagtailbend::ErrorKind;
 using wagtailbend::GetError;
+using wagtailbend::GetValue;
 using wagtailbend::TakeValue;
 using wagtailbend::daemon::Daemon;
 using wagtailbend::daemon::DaemonOptions;
@@ -19,9 +21,24 @@
 constexpr int kRunTimeFailure = 1;
 constexpr int kWrongUsage = 2;
 
+int
+CheckSchema(const std::string& aSchemaFile)
+{
+  if (!aSchemaFile.empty()) {
+    auto compiled = wagtailbend::schema::CompileSchemaFile(aSchemaFile, {});
+    if (const Error* error = GetError(compiled)) {
+      std::cerr << error->detail << '\n';
+      return kWrongUsage;
+    }
+  }
+  std::cout << "settings are valid\n";
+  return 0;
+}
+
 int
 RunDaemon(const DaemonOptions& aOptions)
 {
+  wagtailbend::observability::StartLogging(aOptions.settings.logLevel);
   auto started = Daemon::Start(aOptions);
   if (const Error* error = GetError(started)) {
     std::cerr << error->detail << '\n';
@@ -38,6 +55,8 @@
                            aOptions.settings.httpAddress)
             << std::flush;
   int status = daemon->Run();
+  daemon.reset();
+  wagtailbend::observability::StopLogging();
   std::cout << fmt::format("event=stopped status={}\n", status) << std::flush;
   return status;
 }
@@ -76,8 +95,7 @@
       return kWrongUsage;
     }
     if (arguments.count("check-settings")) {
-      std::cout << "settings are valid\n";
-      return 0;
+      return CheckSchema(GetValue(settings).schemaFile);
     }
     DaemonOptions options;
     options.settings = TakeValue(std::move(settings));
--- a/testing/fake_call.cc
+++ b/testing/fake_call.cc
@@ -136,6 +136,9 @@
     m_child = std::make_unique<grpc::ClientContext>();
     m_child->set_deadline(m_context.deadline());
     m_child->AddMetadata(wb::kParentKey, m_ids.first);
+    m_child->AddMetadata(wb::kTraceParentKey,
+                         std::string(wb::FindMetadata(
+                           m_context.client_metadata(), wb::kTraceParentKey)));
     if (m_cancelled) {
       m_child->TryCancel();
     }
--- a/wagtailbend/daemon/control.cc
+++ b/wagtailbend/daemon/control.cc
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 
 #include "wagtailbend/daemon/daemon.h"
+#include "wagtailbend/observability/event_log.h"
 
 namespace wagtailbend::daemon {
 namespace {
@@ -60,6 +61,7 @@
 Daemon::Tick()
 {
   if (m_target.Expire(MonotonicNow())) {
+    observability::Event("target_removed").Add("reason", "heartbeats").Warn();
     Publish();
   }
   m_tickTimer.expires_after(kTickInterval);
@@ -104,6 +106,10 @@
                bool changed = own ? m_target.Refused(link->Address())
                                   : m_seeds.Refused(link->Address());
                if (changed) {
+                 observability::Event("target_removed")
+                   .Add("reason", "unreachable")
+                   .Add("address", link->Address())
+                   .Warn();
                  Publish();
                }
              });
@@ -116,6 +122,9 @@
     return;
   }
   m_draining = true;
+  observability::Event("drain_started")
+    .Add("in_flight", m_traffic.counters.InFlight())
+    .Info();
   m_drainDeadline = MonotonicNow() + std::chrono::milliseconds(
                                        m_options.settings.drainTimeoutMs);
   Publish();
--- a/wagtailbend/daemon/daemon.cc
+++ b/wagtailbend/daemon/daemon.cc
@@ -11,6 +11,8 @@
 #include "wagtailbend/daemon/bridge.h"
 #include "wagtailbend/daemon/grpc_transport.h"
 #include "wagtailbend/filters/deadline_filter.h"
+#include "wagtailbend/filters/trace_filter.h"
+#include "wagtailbend/observability/event_log.h"
 
 namespace wagtailbend::daemon {
 namespace {
@@ -89,9 +91,16 @@
   m_traffic.attempts = std::make_unique<FixedCostPolicy>();
   m_traffic.events = this;
   m_traffic.progressBound = m_options.progressBound;
-  // Section 4.1 gives the order of the filters of each address. The trace,
+  const settings::Settings& settings = m_options.settings;
+  if (!settings.traceUrl.empty()) {
+    m_exporter = std::make_unique<observability::OtlpExporter>(
+      settings.traceUrl, settings.name);
+  }
+  // Section 4.1 gives the order of the filters of each address. The
   // quarantine, budget, threshold and order filters are added here.
   for (filters::FilterChain& chain : m_traffic.chains) {
+    chain.Add(std::make_unique<filters::TraceFilter>(
+      m_exporter.get(), settings.traceSamplePerMillion));
     chain.Add(std::make_unique<filters::DeadlineFilter>(m_options.returnTime));
   }
 }
@@ -161,6 +170,10 @@
     }
     OnControl([&] {
       if (m_target.Announce(std::move(aAnnouncement), MonotonicNow())) {
+        observability::Event("target_announced")
+          .Add("service", m_target.Target()->service)
+          .Add("address", m_target.Target()->address)
+          .Info();
         Publish();
       }
     });
@@ -175,6 +188,7 @@
   handlers.drain = [this] {
     OnControl([&] {
       if (m_target.Drain()) {
+        observability::Event("target_draining").Info();
         Publish();
       }
     });
--- a/wagtailbend/daemon/daemon.h
+++ b/wagtailbend/daemon/daemon.h
@@ -22,6 +22,7 @@
 #include "wagtailbend/daemon/seed_directory.h"
 #include "wagtailbend/daemon/target_registry.h"
 #include "wagtailbend/daemon/traffic.h"
+#include "wagtailbend/observability/otlp_exporter.h"
 
 namespace wagtailbend::daemon {
 
@@ -73,6 +74,8 @@
   DaemonId m_id;
   std::shared_ptr<const schema::Schema> m_schema;
   ChannelPool m_channels{ KeepAlive{} };
+  // Outlives the trace filters in m_traffic. Null: spans are not exported.
+  std::unique_ptr<observability::OtlpExporter> m_exporter;
   Traffic m_traffic;
 
   asio::io_context m_control;
--- a/wagtailbend/filters/request_context.h
+++ b/wagtailbend/filters/request_context.h
@@ -13,6 +13,7 @@
 #include "wagtailbend/base/error.h"
 #include "wagtailbend/base/ids.h"
 #include "wagtailbend/base/time.h"
+#include "wagtailbend/observability/trace.h"
 #include "wagtailbend/schema/schema.h"
 
 namespace wagtailbend::filters {
@@ -48,8 +49,12 @@
   uint64_t payloadHash = 0;
   std::string ticket;
   std::string orderKey;
-  /// Value of the W3C `traceparent` header, passed on to the callee.
+  /// Value of the W3C `traceparent` header: the caller's until the trace filter
+  /// has run, then the one passed on to the callee.
   std::string traceParent;
+  /// Span of this hop and the span that it belongs to; 0 without one.
+  observability::TraceContext trace;
+  uint64_t parentSpanId = 0;
 };
 
 /// How a request ended at this daemon.
