--- a/programs/wagtaild.cc
+++ b/programs/wagtaild.cc
@@ -61,10 +61,8 @@
   return status;
 }
 
-} // namespace
-
-int
-main(int argc, char** argv)
+cxxopts::Options
+Usage()
 {
   cxxopts::Options usage("wagtaild", "Overload control daemon of one VM");
   usage.add_options()(
@@ -74,6 +72,15 @@
     cxxopts::value<std::vector<std::string>>())("check-settings",
                                                 "check the settings and exit")(
     "version", "print the version")("help", "print this help");
+  return usage;
+}
+
+} // namespace
+
+int
+main(int argc, char** argv)
+{
+  cxxopts::Options usage = Usage();
   try {
     auto arguments = usage.parse(argc, argv);
     if (arguments.count("help")) {
--- a/testing/fake_target_main.cc
+++ b/testing/fake_target_main.cc
@@ -164,6 +164,16 @@
   return options;
 }
 
+// Returns at SIGTERM or SIGINT.
+void
+WaitForStop()
+{
+  asio::io_context context;
+  asio::signal_set signals(context, SIGTERM, SIGINT);
+  signals.async_wait([](const std::error_code&, int) {});
+  context.run();
+}
+
 int
 Run(const cxxopts::ParseResult& aArguments)
 {
@@ -204,10 +214,7 @@
                            address,
                            http)
             << std::flush;
-  asio::io_context context;
-  asio::signal_set signals(context, SIGTERM, SIGINT);
-  signals.async_wait([](const std::error_code&, int) {});
-  context.run();
+  WaitForStop();
   if (reporter) {
     reporter->Stop();
     reporter->Post("/v1/target/drain", nlohmann::json::object());
--- a/wagtailbend/daemon/daemon.cc
+++ b/wagtailbend/daemon/daemon.cc
@@ -154,30 +154,35 @@
   return result.get();
 }
 
+std::optional<Error>
+Daemon::OnAnnounce(Announcement aAnnouncement)
+{
+  if (!m_schema->FindService(aAnnouncement.service)) {
+    return Error{ ErrorKind::kUnknownMethod, aAnnouncement.service };
+  }
+  std::string host;
+  uint16_t port = 0;
+  if (!settings::ParseAddress(aAnnouncement.address, host, port)) {
+    return Error{ ErrorKind::kInvalidRequest, aAnnouncement.address };
+  }
+  OnControl([&] {
+    if (m_target.Announce(std::move(aAnnouncement), MonotonicNow())) {
+      observability::Event("target_announced")
+        .Add("service", m_target.Target()->service)
+        .Add("address", m_target.Target()->address)
+        .Info();
+      Publish();
+    }
+  });
+  return std::nullopt;
+}
+
 HttpHandlers
 Daemon::MakeHandlers()
 {
   HttpHandlers handlers;
-  handlers.announce =
-    [this](Announcement aAnnouncement) -> std::optional<Error> {
-    if (!m_schema->FindService(aAnnouncement.service)) {
-      return Error{ ErrorKind::kUnknownMethod, aAnnouncement.service };
-    }
-    std::string host;
-    uint16_t port = 0;
-    if (!settings::ParseAddress(aAnnouncement.address, host, port)) {
-      return Error{ ErrorKind::kInvalidRequest, aAnnouncement.address };
-    }
-    OnControl([&] {
-      if (m_target.Announce(std::move(aAnnouncement), MonotonicNow())) {
-        observability::Event("target_announced")
-          .Add("service", m_target.Target()->service)
-          .Add("address", m_target.Target()->address)
-          .Info();
-        Publish();
-      }
-    });
-    return std::nullopt;
+  handlers.announce = [this](Announcement aAnnouncement) {
+    return OnAnnounce(std::move(aAnnouncement));
   };
   handlers.heartbeat = [this](double aLoad) -> std::optional<Error> {
     if (OnControl([&] { return m_target.Heartbeat(aLoad, MonotonicNow()); })) {
--- a/wagtailbend/daemon/daemon.h
+++ b/wagtailbend/daemon/daemon.h
@@ -53,6 +53,7 @@
                                          filters::Origin aOrigin);
   void WireTraffic();
   HttpHandlers MakeHandlers();
+  std::optional<Error> OnAnnounce(Announcement aAnnouncement);
 
   /// Runs aWork on the control thread and waits for its result.
   template<typename Work>
