--- a/wagtailbend/daemon/control.cc
+++ b/wagtailbend/daemon/control.cc
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 
 #include "wagtailbend/daemon/daemon.h"
+#include "wagtailbend/observability/event_log.h"
 
 namespace wagtailbend::daemon {
 namespace {
@@ -66,6 +67,7 @@
 Daemon::Tick()
 {
   if (m_target.Expire(MonotonicNow())) {
+    observability::Event("target_removed").Add("reason", "heartbeats").Warn();
     Publish();
   }
   TimePoint now = MonotonicNow();
@@ -118,6 +120,10 @@
                bool changed = own ? m_target.Refused(link->Address())
                                   : m_seeds.Refused(link->Address());
                if (changed) {
+                 observability::Event("target_removed")
+                   .Add("reason", "unreachable")
+                   .Add("address", link->Address())
+                   .Warn();
                  Publish();
                }
              });
@@ -130,6 +136,9 @@
     return;
   }
   m_draining = true;
+  observability::Event("drain_started")
+    .Add("in_flight", m_traffic.counters.InFlight())
+    .Info();
   m_drainDeadline = MonotonicNow() + std::chrono::milliseconds(
                                        m_options.settings.drainTimeoutMs);
   Publish();
--- a/wagtailbend/daemon/daemon.cc
+++ b/wagtailbend/daemon/daemon.cc
@@ -12,6 +12,8 @@
 #include "wagtailbend/daemon/grpc_transport.h"
 #include "wagtailbend/daemon/order_services.h"
 #include "wagtailbend/filters/deadline_filter.h"
+#include "wagtailbend/filters/trace_filter.h"
+#include "wagtailbend/observability/event_log.h"
 #include "wagtailbend/platform/http_platform.h"
 
 namespace wagtailbend::daemon {
@@ -94,9 +96,16 @@
   m_traffic.attempts = std::make_unique<FixedCostPolicy>();
   m_traffic.events = this;
   m_traffic.progressBound = m_options.progressBound;
-  // Section 4.1 gives the order of the filters of each address. The trace,
+  const settings::Settings& settings = m_options.settings;
+  if (!settings.traceUrl.empty()) {
+    m_exporter = std::make_unique<observability::OtlpExporter>(
+      settings.traceUrl, settings.name);
+  }
+  // Section 4.1 gives the order of the filters of each address. The
   // quarantine, budget, threshold and order filters are added here.
   for (filters::FilterChain& chain : m_traffic.chains) {
+    chain.Add(std::make_unique<filters::TraceFilter>(
+      m_exporter.get(), settings.traceSamplePerMillion));
     chain.Add(std::make_unique<filters::DeadlineFilter>(m_options.returnTime));
   }
 }
@@ -183,26 +192,35 @@
   return result.get();
 }
 
+std::optional<Error>
+Daemon::OnAnnounce(Announcement aAnnouncement)
+{
+  if (!m_schema->FindService(aAnnouncement.service)) {
+    return Error{ ErrorKind::kUnknownMethod, aAnnouncement.service };
+  }
+  std::string host;
+  uint16_t port = 0;
+  if (!settings::ParseAddress(aAnnouncement.address, host, port)) {
+    return Error{ ErrorKind::kInvalidRequest, aAnnouncement.address };
+  }
+  OnControl([&] {
+    if (m_target.Announce(std::move(aAnnouncement), MonotonicNow())) {
+      observability::Event("target_announced")
+        .Add("service", m_target.Target()->service)
+        .Add("address", m_target.Target()->address)
+        .Info();
+      Publish();
+    }
+  });
+  return std::nullopt;
+}
+
 HttpHandlers
 Daemon::MakeHandlers()
 {
   HttpHandlers handlers;
-  handlers.announce =
-    [this](Announcement aAnnouncement) -> std::optional<Error> {
-    if (!m_schema->FindService(aAnnouncement.service)) {
-      return Error{ ErrorKind::kUnknownMethod, aAnnouncement.service };
-    }
-    std::string host;
-    uint16_t port = 0;
-    if (!settings::ParseAddress(aAnnouncement.address, host, port)) {
-      return Error{ ErrorKind::kInvalidRequest, aAnnouncement.address };
-    }
-    OnControl([&] {
-      if (m_target.Announce(std::move(aAnnouncement), MonotonicNow())) {
-        Publish();
-      }
-    });
-    return std::nullopt;
+  handlers.announce = [this](Announcement aAnnouncement) {
+    return OnAnnounce(std::move(aAnnouncement));
   };
   handlers.heartbeat = [this](double aLoad) -> std::optional<Error> {
     if (OnControl([&] { return m_target.Heartbeat(aLoad, MonotonicNow()); })) {
@@ -213,6 +231,7 @@
   handlers.drain = [this] {
     OnControl([&] {
       if (m_target.Drain()) {
+        observability::Event("target_draining").Info();
         Publish();
       }
     });
--- a/wagtailbend/daemon/daemon.h
+++ b/wagtailbend/daemon/daemon.h
@@ -24,6 +24,7 @@
 #include "wagtailbend/daemon/seed_directory.h"
 #include "wagtailbend/daemon/target_registry.h"
 #include "wagtailbend/daemon/traffic.h"
+#include "wagtailbend/observability/otlp_exporter.h"
 
 namespace wagtailbend::daemon {
 
@@ -55,6 +56,7 @@
   void WireTraffic();
   std::optional<Error> WireOrders();
   HttpHandlers MakeHandlers();
+  std::optional<Error> OnAnnounce(Announcement aAnnouncement);
 
   /// Runs aWork on the control thread and waits for its result.
   template<typename Work>
@@ -78,6 +80,8 @@
   std::shared_ptr<const schema::Schema> m_schema;
   ChannelPool m_channels{ KeepAlive{} };
   std::unique_ptr<OrderParts> m_orders;
+  // Outlives the trace filters in m_traffic. Null: spans are not exported.
+  std::unique_ptr<observability::OtlpExporter> m_exporter;
   Traffic m_traffic;
 
   asio::io_context m_control;
