--- a/testing/caller.cc
+++ b/testing/caller.cc
@@ -46,6 +46,9 @@
     if (!aOptions.orderKey.empty()) {
       m_context.AddMetadata(daemon::kOrderKeyKey, aOptions.orderKey);
     }
+    if (!aOptions.incarnation.empty()) {
+      m_context.AddMetadata(daemon::kIncarnationKey, aOptions.incarnation);
+    }
     m_record.ticket = aOptions.ticket;
     m_context.set_deadline(std::chrono::system_clock::now() + aOptions.timeout);
     grpc::Slice slice(RequestFor(*FindMethod(aMethod), aKey));
--- a/testing/caller.h
+++ b/testing/caller.h
@@ -42,6 +42,8 @@
   std::string ticket;
   /// Idempotency key of an order that is sent without a ticket.
   std::string orderKey;
+  /// Incarnation addressed, as on a grant from an order's home.
+  std::string incarnation;
   /// Send an order with nothing but what is set above.
   bool bare = false;
 };
--- a/testing/deployment.h
+++ b/testing/deployment.h
@@ -59,13 +59,13 @@
   std::string Page(size_t aIndex, const std::string& aPath);
   /// Waits until every running daemon sees aCount targets, its own included.
   bool WaitForTargets(size_t aCount, std::chrono::milliseconds aLimit);
+  /// Starts the daemon of a VM, again if it had ended.
+  void StartDaemon(size_t aIndex);
   /// Starts the target of a VM, again if it had ended.
   void StartTarget(size_t aIndex);
   const std::string& Folder() const { return m_folder; }
 
 private:
-  void StartDaemon(size_t aIndex);
-
   std::string m_schema;
   std::string m_folder;
   std::vector<Vm> m_vms;
