--- a/testing/deployment.cc
+++ b/testing/deployment.cc
@@ -129,7 +129,7 @@
       return false;
     }
   }
-  return WaitForTargets(targets, kStartLimit);
+  return WaitForTargets(targets, kStartLimit) && WaitForPeers(kStartLimit);
 }
 
 std::string
@@ -150,6 +150,26 @@
   return reply && reply->status == 200;
 }
 
+// A daemon without a target is reached as the home of tickets, so that knowing
+// all targets does not suffice.
+bool
+Deployment::WaitForPeers(std::chrono::milliseconds aLimit)
+{
+  auto end = std::chrono::steady_clock::now() + aLimit;
+  for (size_t i = 0; i < m_vms.size();) {
+    auto status = nlohmann::json::parse(Page(i, "/status"), nullptr, false);
+    if (status.is_object() && status["peers"].size() + 1 == m_vms.size()) {
+      ++i;
+      continue;
+    }
+    if (std::chrono::steady_clock::now() > end) {
+      return false;
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  }
+  return true;
+}
+
 bool
 Deployment::SetPlatformFault(const std::string& aJson)
 {
--- a/testing/deployment.h
+++ b/testing/deployment.h
@@ -45,7 +45,8 @@
   Deployment(const std::string& aSchema, std::vector<VmPlan> aPlans);
   ~Deployment();
 
-  /// Starts all processes and waits until every daemon knows every target.
+  /// Starts all processes and waits until every daemon knows every target and
+  /// every other daemon.
   /// Returns false after 20 s.
   bool Start();
   /// Makes Start run a platform that all daemons use.
@@ -66,6 +67,8 @@
   const std::string& Folder() const { return m_folder; }
 
 private:
+  bool WaitForPeers(std::chrono::milliseconds aLimit);
+
   std::string m_schema;
   std::string m_folder;
   std::vector<Vm> m_vms;
