Let quiet daemons retry and cap bulk work by the learned limit

Cause: a customer that tries once at a daemon with under ten calls in 10 s got no retry; the bulk cap followed the declared slots even when the target runs fewer requests side by side.

--- a/benchmarks/overload_model.h
+++ b/benchmarks/overload_model.h
@@ -29,6 +29,9 @@
 struct Scenario
 {
   uint32_t slots = 100;
+  /// Requests that the target really runs side by side; with more in service
+  /// the service times of those that start grow in proportion. 0: no limit.
+  uint32_t parallelism = 0;
   bool reservesOrders = true;
   std::vector<Load> loads;
   /// Factor on service times as a function of the time since the start.
--- a/wagtailbend/admission/admission.cc
+++ b/wagtailbend/admission/admission.cc
@@ -30,12 +30,17 @@
 Admission::Admission(const AdmissionConfig& aConfig)
   : m_config(aConfig)
   , m_reserved(ReservedSlots(aConfig))
-  , m_longCap(std::max(1U, aConfig.slots / 4))
   , m_limit(aConfig.slots)
   , m_pressure(aConfig.maxQueueTime / kDrainTargetDivisor)
 {
 }
 
+uint32_t
+Admission::LongCap() const
+{
+  return std::max(1U, m_limit.Current() / 4);
+}
+
 bool
 Admission::HasSlotFor(bool aOrder, bool aLong) const
 {
@@ -43,7 +48,7 @@
   if (aOrder) {
     return m_inFlight < limit;
   }
-  if (aLong && m_longInFlight >= m_longCap) {
+  if (aLong && m_longInFlight >= LongCap()) {
     return false;
   }
   const uint32_t keptFree = m_reserved - std::min(m_reserved, m_ordersInFlight);
@@ -79,9 +84,7 @@
   const std::optional<Duration> service =
     aPlacement.isLong ? m_times.Expected(aPlacement.entry.method)
                       : m_times.MeanOfShort();
-  const uint32_t slots = aPlacement.isLong
-                           ? std::min(m_longCap, m_limit.Current())
-                           : m_limit.Current();
+  const uint32_t slots = aPlacement.isLong ? LongCap() : m_limit.Current();
   if (!service) {
     return Duration{};
   }
--- a/wagtailbend/admission/admission.h
+++ b/wagtailbend/admission/admission.h
@@ -161,6 +161,9 @@
     bool isLong = false;
   };
 
+  /// A quarter of the learned limit, which never exceeds the slots: a target
+  /// may run fewer requests side by side than it declares.
+  uint32_t LongCap() const;
   bool HasSlotFor(bool aOrder, bool aLong) const;
   Slot Occupy(uint32_t aMethod, schema::Kind aKind, bool aLong, TimePoint aNow);
   bool CanFinish(uint32_t aMethod, TimePoint aDeadline, TimePoint aNow);
@@ -177,7 +180,6 @@
 
   const AdmissionConfig m_config;
   const uint32_t m_reserved;
-  const uint32_t m_longCap;
 
   mutable std::mutex m_mutex;
   internal::ConcurrencyLimit m_limit;
--- a/wagtailbend/attempts/hedge.h
+++ b/wagtailbend/attempts/hedge.h
@@ -70,7 +70,7 @@
   };
   /// Idempotent lookups only.
   std::map<std::string, Entry, std::less<>> m_methods;
-  RatioLimiter m_ratio{ kHedgeRatioPercent };
+  RatioLimiter m_ratio{ kHedgeRatioPercent, kHedgeAllowance };
 };
 
 } // namespace wagtailbend::attempts
--- a/wagtailbend/attempts/ratio_limiter.cc
+++ b/wagtailbend/attempts/ratio_limiter.cc
@@ -43,8 +43,9 @@
 
 } // namespace
 
-RatioLimiter::RatioLimiter(uint32_t aPercent)
+RatioLimiter::RatioLimiter(uint32_t aPercent, uint32_t aAllowance)
   : m_percent(aPercent)
+  , m_allowance(aAllowance)
 {
 }
 
@@ -90,7 +91,8 @@
   // the sum is taken again.
   do {
     const Totals totals = Sum(second);
-    if ((totals.extras + 1) * 100 > totals.calls * m_percent) {
+    if (totals.extras >= m_allowance &&
+        (totals.extras + 1) * 100 > totals.calls * m_percent) {
       return false;
     }
     const bool current = BucketSecond(word) == second;
--- a/wagtailbend/attempts/ratio_limiter.h
+++ b/wagtailbend/attempts/ratio_limiter.h
@@ -2,7 +2,7 @@
 // It is the second limit beside the attempt ledger: the ledger bounds each
 // request, the ratio bounds the daemon's mean.
 //
-//   RatioLimiter retries(kRetryRatioPercent);
+//   RatioLimiter retries(kRetryRatioPercent, kRetryAllowance);
 //   retries.RecordCall(now);
 //   if (retries.TryTake(now)) { ... }
 
@@ -18,20 +18,24 @@
 
 inline constexpr uint32_t kRetryRatioPercent = 10;
 inline constexpr uint32_t kHedgeRatioPercent = 5;
+/// Retries and hedges of one window that need no calls beside them. Without
+/// them a daemon with few calls could never retry, and its customers try once.
+inline constexpr uint32_t kRetryAllowance = 10;
+inline constexpr uint32_t kHedgeAllowance = 5;
 
 /// Thread-safe without locks. Two TryTake that race across a second boundary
 /// may together exceed the ratio by one.
 class RatioLimiter
 {
 public:
-  explicit RatioLimiter(uint32_t aPercent);
+  /// aAllowance: retries or hedges in 10 s that are allowed at any call rate.
+  RatioLimiter(uint32_t aPercent, uint32_t aAllowance);
 
   /// Counts a first attempt. Retries and hedges do not count as calls.
   void RecordCall(TimePoint aNow);
 
   /// Returns true, and counts one retry or hedge, if the share stays at or
-  /// under the ratio with it. There is no free allowance at low rates: with
-  /// fewer than 100/percent calls in the window the answer is false.
+  /// under the ratio with it, or the window holds no more than the allowance.
   bool TryTake(TimePoint aNow);
 
 private:
@@ -45,6 +49,7 @@
   static constexpr uint32_t kWindowSeconds = 10;
 
   uint32_t m_percent;
+  uint32_t m_allowance;
   /// One word per second: second (24 bits), calls (20), extras (20).
   std::array<std::atomic<uint64_t>, kWindowSeconds> m_buckets{};
 };
