Put admission, thresholds and attempt ledgers into the request path

Cause: the daemon admitted every request at once and paid a fixed cost for each attempt. Change: IngressGate queues requests for the own target without a thread; GatedAttempt waits there, registers the running request and reports its unspent attempts; BudgetFilter and ThresholdFilter run at entry and egress; retries need the ledger and the ratio. A peer that answers no-target leaves the routing view at once.

--- a/wagtailbend/base/rng.h
+++ b/wagtailbend/base/rng.h
@@ -33,4 +33,13 @@
   return Rng(seed);
 }
 
+/// Returns the engine of the calling thread, seeded from the operating system.
+/// For the traffic path only: decision logic receives its engine.
+inline Rng&
+ThreadRng()
+{
+  thread_local Rng rng = MakeSeededRng();
+  return rng;
+}
+
 } // namespace wagtailbend
--- a/wagtailbend/daemon/bridge.cc
+++ b/wagtailbend/daemon/bridge.cc
@@ -11,13 +11,6 @@
 namespace wagtailbend::daemon {
 namespace {
 
-Rng&
-ThreadRng()
-{
-  thread_local Rng rng = MakeSeededRng();
-  return rng;
-}
-
 /// Calls aVisit with each contiguous part of aBuffer.
 template<typename Visit>
 void
@@ -98,6 +91,7 @@
   }
   m_context.priority = m_context.method->priority;
   if (m_context.origin == filters::Origin::kPeer) {
+    m_context.nested = m_context.parent.has_value();
     m_context.priority =
       std::min(ParseNumber(text(kPriorityKey), m_context.priority),
                schema::kMaxPriority);
@@ -145,7 +139,6 @@
 Bridge::RunFilters()
 {
   m_context.payloadHash = HashOf(m_request);
-  m_traffic.attempts->Open(m_context, m_allotted);
   auto& chain = m_traffic.chains[static_cast<size_t>(m_context.origin)];
   auto error = chain.OnRequest(m_context, m_context.arrival, m_filtersEntered);
   if (error) {
@@ -153,65 +146,7 @@
     FinishWithError(std::move(*error), run, nullptr);
     return;
   }
-  if (m_context.origin != filters::Origin::kPeer || !m_traffic.gate) {
-    StartAttempt();
-    return;
-  }
-  m_traffic.gate->Enter(
-    m_context, m_context.arrival, [this](std::optional<Error> aError) {
-      OnAdmitted(std::move(aError));
-    });
-}
-
-void
-Bridge::OnAdmitted(std::optional<Error> aError)
-{
-  if (aError) {
-    RunState run = AnswerFor(aError->kind).runState;
-    FinishWithError(std::move(*aError), run, nullptr);
-    return;
-  }
-  m_admitted = true;
-  StartAttempt();
-}
-
-void
-Bridge::StartAttempt()
-{
-  TimePoint now = MonotonicNow();
-  m_destination = m_traffic.chooser->Choose(
-    m_context, *m_snapshot, m_tried, now, ThreadRng());
-  if (!m_destination) {
-    FinishWithError({ ErrorKind::kNoTarget, m_context.method->service },
-                    m_mayHaveRun ? RunState::kMayHaveRun : RunState::kNotRun,
-                    nullptr);
-    return;
-  }
-  std::optional<uint32_t> allotted = m_traffic.attempts->Draw(m_context);
-  if (!allotted) {
-    FinishWithError(
-      { ErrorKind::kAttemptsExhausted, "" }, RunState::kNotRun, nullptr);
-    return;
-  }
-  m_attemptId = m_context.origin == filters::Origin::kPeer
-                  ? m_context.attemptId
-                  : AttemptId::Random(ThreadRng());
-  m_attemptStart = now;
-  m_attemptError.reset();
-  m_tried.push_back(m_destination->daemon);
-  m_verifier.emplace(m_context.requestId,
-                     m_attemptId,
-                     m_context.method->serverStreaming,
-                     m_traffic.progressBound,
-                     now);
-  m_traffic.counters.attempts.fetch_add(1, std::memory_order_relaxed);
-  m_traffic.chooser->OnStart(*m_destination, now);
-  auto attempt =
-    m_traffic.transport->Prepare(MakeAttemptRequest(*allotted), *this);
-  if (Publish(attempt)) {
-    attempt->Cancel();
-  }
-  attempt->Begin();
+  StartFirst();
 }
 
 AttemptRequest
@@ -243,6 +178,10 @@
   if (!m_destination->own) {
     metadata.emplace_back(kIncarnationKey,
                           ToHex(m_destination->daemon.incarnation));
+    // Tells the peer's gate that the call belongs to admitted work.
+    if (m_context.nested) {
+      metadata.emplace_back(kParentKey, m_context.parent->ToString());
+    }
   }
   if (!m_context.ticket.empty()) {
     metadata.emplace_back(kTicketKey, m_context.ticket);
--- a/wagtailbend/daemon/bridge.h
+++ b/wagtailbend/daemon/bridge.h
@@ -43,9 +43,13 @@
 
   void ReadMetadata();
   void RunFilters();
-  void OnAdmitted(std::optional<Error> aError);
-  void StartAttempt();
+  void StartFirst();
+  bool StartRetry(const Error& aError);
+  void Send(const attempts::AttemptGrant& aGrant);
+  std::shared_ptr<Attempt> PrepareAttempt(const attempts::AttemptGrant& aGrant);
   AttemptRequest MakeAttemptRequest(uint32_t aAllotted);
+  void LearnFrom(const AttemptEnd& aEnd, bool aComplete, TimePoint aNow);
+  void AddAdmissionTrailers(ErrorKind aKind);
   Duration ProgressBound() const;
   bool Publish(const std::shared_ptr<Attempt>& aAttempt);
   std::optional<Error> ErrorOf(const AttemptEnd& aEnd, RunState& aRun);
@@ -65,7 +69,7 @@
   std::shared_ptr<const schema::Schema> m_schema;
   filters::RequestContext m_context;
   size_t m_filtersEntered = 0;
-  bool m_admitted = false;
+  // Value of `wb-attempts`.
   std::optional<uint32_t> m_allotted;
   grpc::ByteBuffer m_request;
   grpc::ByteBuffer m_response;
@@ -73,6 +77,7 @@
   // The current attempt.
   const Destination* m_destination = nullptr;
   AttemptId m_attemptId;
+  attempts::AttemptGrant m_grant;
   TimePoint m_attemptStart;
   std::optional<answers::ResponseVerifier> m_verifier;
   std::optional<Error> m_attemptError;
@@ -84,6 +89,9 @@
   // An earlier attempt may have run the request.
   bool m_mayHaveRun = false;
   uint64_t m_responseBytes = 0;
+  // What the last attempt told about admission, passed on to the caller.
+  std::string m_threshold;
+  std::string m_retryAfter;
 
   std::atomic<bool> m_cancelled{ false };
   // Guards m_attempt against OnCancel; never held while gRPC is called with
--- a/wagtailbend/daemon/bridge_end.cc
+++ b/wagtailbend/daemon/bridge_end.cc
@@ -39,6 +39,7 @@
 {
   aRun = RunState::kMayHaveRun;
   if (m_cancelled.load()) {
+    aRun = RunStateFromName(aEnd.run).value_or(RunState::kMayHaveRun);
     return Error{ ErrorKind::kCancelled, "cancelled by the caller" };
   }
   if (aEnd.silent) {
@@ -81,6 +82,7 @@
                              now - m_attemptStart,
                              aEnd.threshold },
                            now);
+  LearnFrom(aEnd, !error, now);
   {
     std::lock_guard lock(m_attemptMutex);
     m_attempt.reset();
@@ -98,18 +100,21 @@
   if (aError.kind == ErrorKind::kAnswerMismatch) {
     m_traffic.counters.mismatches.fetch_add(1, std::memory_order_relaxed);
   }
-  if (aEnd.unreachable && m_traffic.events) {
+  // A peer whose target has gone would cost each request sent to it a retry
+  // until the control thread hears of it.
+  const bool gone = aEnd.unreachable || (aError.kind == ErrorKind::kNoTarget &&
+                                         !m_destination->own);
+  if (gone && m_traffic.events) {
     m_traffic.events->OnUnreachable(*m_destination);
   }
   m_silenceSeen = m_silenceSeen || aEnd.silent;
   m_mayHaveRun = m_mayHaveRun || aRun != RunState::kNotRun;
-  if (MayRetry(aError, aRun)) {
-    m_traffic.counters.retries.fetch_add(1, std::memory_order_relaxed);
-    // Targets that were removed meanwhile are not chosen again.
-    m_snapshot = m_traffic.snapshots.Load();
-    StartAttempt();
+  if (MayRetry(aError, aRun) && StartRetry(aError)) {
     return;
   }
+  if (m_mayHaveRun && aRun == RunState::kNotRun) {
+    aRun = RunState::kMayHaveRun;
+  }
   bool order = m_context.method->kind == schema::Kind::kOrder;
   if (order && aRun == RunState::kMayHaveRun) {
     aError.kind = ErrorKind::kOutcomeUnknown;
@@ -130,8 +135,7 @@
       (method.kind == schema::Kind::kOrder || !method.idempotent)) {
     return false;
   }
-  return m_context.attemptsLeft >= method.minimumAttempts &&
-         MonotonicNow() < m_context.deadline;
+  return MonotonicNow() < m_context.deadline;
 }
 
 void
@@ -149,6 +153,7 @@
                                       m_context.attemptId.ToString());
   m_serverContext.AddTrailingMetadata(kErrorKey, std::string(answer.name));
   m_serverContext.AddTrailingMetadata(kRunKey, std::string(RunStateName(aRun)));
+  AddAdmissionTrailers(aError.kind);
   Leave({ std::move(aError), aRun, status.error_code(), m_responseBytes });
   Finish(status);
 }
@@ -162,9 +167,12 @@
     m_serverContext.AddTrailingMetadata(kChecksumKey,
                                         std::string(aEnd.checksum));
   }
-  if (!aEnd.threshold.empty()) {
-    m_serverContext.AddTrailingMetadata(kThresholdKey,
-                                        std::string(aEnd.threshold));
+  if (m_context.origin == filters::Origin::kPeer) {
+    m_serverContext.AddTrailingMetadata(kAttemptsLeftKey,
+                                        std::string(aEnd.attemptsLeft));
+  }
+  if (!m_threshold.empty()) {
+    m_serverContext.AddTrailingMetadata(kThresholdKey, m_threshold);
   }
   Leave({ std::nullopt, RunState::kRan, 0, m_responseBytes });
   SendIds();
@@ -179,9 +187,6 @@
 Bridge::Leave(const filters::Outcome& aOutcome)
 {
   TimePoint now = MonotonicNow();
-  if (m_admitted) {
-    m_traffic.gate->Leave(m_context, aOutcome, now);
-  }
   auto& chain = m_traffic.chains[static_cast<size_t>(m_context.origin)];
   chain.OnResponse(m_context, aOutcome, now, m_filtersEntered);
 }
--- a/wagtailbend/daemon/daemon.cc
+++ b/wagtailbend/daemon/daemon.cc
@@ -10,7 +10,9 @@
 
 #include "wagtailbend/daemon/bridge.h"
 #include "wagtailbend/daemon/grpc_transport.h"
+#include "wagtailbend/filters/budget_filter.h"
 #include "wagtailbend/filters/deadline_filter.h"
+#include "wagtailbend/filters/threshold_filter.h"
 
 namespace wagtailbend::daemon {
 namespace {
@@ -86,13 +88,18 @@
 {
   m_traffic.transport = std::make_unique<GrpcTransport>();
   m_traffic.chooser = std::make_unique<PreferOwnChooser>();
-  m_traffic.attempts = std::make_unique<FixedCostPolicy>();
   m_traffic.events = this;
   m_traffic.progressBound = m_options.progressBound;
   // Section 4.1 gives the order of the filters of each address. The trace,
-  // quarantine, budget, threshold and order filters are added here.
-  for (filters::FilterChain& chain : m_traffic.chains) {
+  // quarantine and order filters are added here.
+  for (size_t i = 0; i < kOriginCount; ++i) {
+    filters::FilterChain& chain = m_traffic.chains[i];
     chain.Add(std::make_unique<filters::DeadlineFilter>(m_options.returnTime));
+    if (static_cast<filters::Origin>(i) == filters::Origin::kPeer) {
+      continue;
+    }
+    chain.Add(std::make_unique<filters::BudgetFilter>(m_traffic.registry));
+    chain.Add(std::make_unique<filters::ThresholdFilter>(m_traffic.thresholds));
   }
 }
 
@@ -161,6 +168,7 @@
     }
     OnControl([&] {
       if (m_target.Announce(std::move(aAnnouncement), MonotonicNow())) {
+        m_traffic.gate.SetTarget(GateConfig(*m_schema, *m_target.Target()));
         Publish();
       }
     });
--- a/wagtailbend/daemon/grpc_transport.cc
+++ b/wagtailbend/daemon/grpc_transport.cc
@@ -68,6 +68,7 @@
     end.checksum = FindMetadata(trailers, kChecksumKey);
     end.attemptsLeft = FindMetadata(trailers, kAttemptsLeftKey);
     end.threshold = FindMetadata(trailers, kThresholdKey);
+    end.retryAfterMs = FindMetadata(trailers, kRetryAfterKey);
     // A response that completed despite the cancellation is a response.
     end.silent = m_silent && !aStatus.ok();
     end.unreachable =
--- a/wagtailbend/daemon/metadata.h
+++ b/wagtailbend/daemon/metadata.h
@@ -23,6 +23,7 @@
 inline constexpr char kIncarnationKey[] = "wb-incarnation";
 inline constexpr char kTraceParentKey[] = "traceparent";
 inline constexpr char kThresholdKey[] = "wb-threshold";
+inline constexpr char kRetryAfterKey[] = "wb-retry-after-ms";
 inline constexpr char kErrorKey[] = "wb-error";
 inline constexpr char kRunKey[] = "wb-run";
 inline constexpr char kAttemptsLeftKey[] = "wb-attempts-left";
--- a/wagtailbend/daemon/peer_transport.h
+++ b/wagtailbend/daemon/peer_transport.h
@@ -59,6 +59,10 @@
   std::string_view checksum;
   std::string_view attemptsLeft;
   std::string_view threshold;
+  /// When a rejected request may be sent again.
+  std::string_view retryAfterMs;
+  /// Time in the queue of the local target.
+  Duration queueTime{};
   /// The connection refused or could not be opened.
   bool unreachable = false;
   /// No frame arrived within the progress bound; the connection was replaced.
--- a/wagtailbend/daemon/policies.cc
+++ b/wagtailbend/daemon/policies.cc
@@ -42,36 +42,4 @@
   return &peers[first];
 }
 
-void
-FixedCostPolicy::Open(filters::RequestContext& aContext,
-                      std::optional<uint32_t> aAllotted)
-{
-  const schema::Method& method = *aContext.method;
-  switch (aContext.origin) {
-    case filters::Origin::kCustomer:
-      aContext.attemptsLeft = method.attemptBudget;
-      return;
-    case filters::Origin::kPeer:
-      // The caller has deducted this attempt already.
-      aContext.attemptsLeft =
-        aAllotted.value_or(method.minimumAttempts - 1) + 1;
-      return;
-    case filters::Origin::kTarget:
-      aContext.attemptsLeft = method.minimumAttempts;
-      return;
-  }
-}
-
-std::optional<uint32_t>
-FixedCostPolicy::Draw(filters::RequestContext& aContext)
-{
-  uint32_t cost = aContext.method->minimumAttempts;
-  if (aContext.attemptsLeft < cost) {
-    return std::nullopt;
-  }
-  aContext.attemptsLeft -= cost;
-  ++aContext.attemptsStarted;
-  return cost - 1;
-}
-
 } // namespace wagtailbend::daemon
--- a/wagtailbend/daemon/policies.h
+++ b/wagtailbend/daemon/policies.h
@@ -1,5 +1,5 @@
-// The decisions of the request path that other modules replace: which target
-// to use and whether another attempt may start.
+// The decision of the request path that another module replaces: which target
+// to use.
 //
 //   PreferOwnChooser chooser;
 //   const Destination* destination =
@@ -66,30 +66,4 @@
   }
 };
 
-/// Accounts for the attempts of requests. Thread-safe.
-class AttemptPolicy
-{
-public:
-  virtual ~AttemptPolicy() = default;
-
-  /// Sets the budget of a request that has just arrived. aAllotted is the
-  /// value of `wb-attempts` sent by a peer.
-  virtual void Open(filters::RequestContext& aContext,
-                    std::optional<uint32_t> aAllotted) = 0;
-  /// Deducts one attempt and its downstream calls. Returns the value of
-  /// `wb-attempts` for the callee, or nullopt if the budget does not suffice.
-  virtual std::optional<uint32_t> Draw(filters::RequestContext& aContext) = 0;
-};
-
-/// Deducts the schema's minimum for every attempt and never returns anything.
-/// A downstream call gets the minimum and hence no retry. Replaced by the
-/// attempts module.
-class FixedCostPolicy final : public AttemptPolicy
-{
-public:
-  void Open(filters::RequestContext& aContext,
-            std::optional<uint32_t> aAllotted) override;
-  std::optional<uint32_t> Draw(filters::RequestContext& aContext) override;
-};
-
 } // namespace wagtailbend::daemon
--- a/wagtailbend/daemon/traffic.h
+++ b/wagtailbend/daemon/traffic.h
@@ -6,6 +6,10 @@
 #include <atomic>
 #include <memory>
 
+#include "wagtailbend/admission/threshold_table.h"
+#include "wagtailbend/attempts/ratio_limiter.h"
+#include "wagtailbend/attempts/registry.h"
+#include "wagtailbend/daemon/ingress_gate.h"
 #include "wagtailbend/daemon/peer_transport.h"
 #include "wagtailbend/daemon/policies.h"
 #include "wagtailbend/daemon/routing_snapshot.h"
@@ -55,11 +59,14 @@
   std::unique_ptr<PeerTransport> transport;
   /// By Origin.
   std::array<filters::FilterChain, kOriginCount> chains;
-  /// Null: every request is admitted at once. Used for requests that the own
-  /// target runs.
-  std::unique_ptr<filters::AdmissionGate> gate;
+  /// In front of the own target.
+  IngressGate gate;
+  /// The requests that the own target runs.
+  attempts::RequestRegistry registry;
+  admission::ThresholdTable thresholds;
+  attempts::RatioLimiter retryRatio{ attempts::kRetryRatioPercent,
+                                     attempts::kRetryAllowance };
   std::unique_ptr<TargetChooser> chooser;
-  std::unique_ptr<AttemptPolicy> attempts;
   TrafficEvents* events = nullptr;
   Duration progressBound{};
   TrafficCounters counters;
--- a/wagtailbend/filters/filter.h
+++ b/wagtailbend/filters/filter.h
@@ -58,24 +58,56 @@
   std::vector<std::unique_ptr<Filter>> m_filters;
 };
 
-/// Where an admitted request waits for a slot of the local target. The request
-/// may wait in a queue, so the decision arrives through a callback.
-class AdmissionGate
+/// The final decision on a request at the gate. It was not run so far.
+struct AdmissionResult
+{
+  /// Empty: the request holds a slot.
+  std::optional<Error> error;
+  /// With an error: when the caller may try again.
+  Duration retryAfter{};
+  Duration queueTime{};
+};
+
+/// One request at the gate. Thread-safe.
+class AdmissionEntry
 {
 public:
-  /// Called exactly once, from any thread: empty to admit, else the rejection.
-  using Decision = std::function<void(std::optional<Error>)>;
+  /// Called exactly once, from any thread, possibly before Wait has returned.
+  using Decision = std::function<void(const AdmissionResult&)>;
+
+  virtual ~AdmissionEntry() = default;
+
+  /// Asks for a slot. Called once. The entry must live until aDecision runs.
+  virtual void Wait(TimePoint aNow, Decision aDecision) = 0;
+  /// Gives up waiting: the decision is kCancelled if none was made yet. Does
+  /// nothing for a request that holds a slot.
+  virtual void Cancel() = 0;
+  /// Frees the slot of an admitted request. Called once. aAnswered: a complete
+  /// response arrived.
+  virtual void Leave(bool aAnswered, TimePoint aNow) = 0;
+};
 
+/// What the gate decides on.
+struct GateRequest
+{
+  /// Lives until the decision.
+  const schema::Method* method = nullptr;
+  uint32_t priority = 0;
+  TimePoint deadline;
+  bool nested = false;
+};
+
+/// Where requests wait for a slot of the local target. A request may wait in a
+/// queue without a thread, so the decision arrives through a callback.
+class AdmissionGate
+{
+public:
   virtual ~AdmissionGate() = default;
 
-  /// aContext outlives the call of aDecision. Thread-safe.
-  virtual void Enter(RequestContext& aContext,
-                     TimePoint aNow,
-                     Decision aDecision) = 0;
-  /// Called once for each admitted request when it has ended. Thread-safe.
-  virtual void Leave(RequestContext& aContext,
-                     const Outcome& aOutcome,
-                     TimePoint aNow) = 0;
+  /// Thread-safe.
+  virtual std::shared_ptr<AdmissionEntry> Open(const GateRequest& aRequest) = 0;
+  /// Value of `wb-threshold`, from 0 (admits all) to 9. Thread-safe.
+  virtual double Threshold() const = 0;
 };
 
 } // namespace wagtailbend::filters
--- a/wagtailbend/filters/request_context.h
+++ b/wagtailbend/filters/request_context.h
@@ -7,9 +7,11 @@
 #pragma once
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 
+#include "wagtailbend/attempts/ledger.h"
 #include "wagtailbend/base/error.h"
 #include "wagtailbend/base/ids.h"
 #include "wagtailbend/base/time.h"
@@ -40,12 +42,18 @@
   TimePoint arrival;
   TimePoint deadline;
   uint32_t priority = 0;
-  /// Attempts that this request may still start, this daemon's included.
-  uint32_t attemptsLeft = 0;
+  /// A call that a running request of the local target makes, here or at the
+  /// peer that sent it.
+  bool nested = false;
+  /// Pays for the attempts: of this request at entry, of the parent at egress.
+  /// Null at ingress, where the caller has paid.
+  std::shared_ptr<attempts::AttemptLedger> ledger;
   /// Attempts started by this daemon.
   uint32_t attemptsStarted = 0;
   /// xxHash64 of the request payload.
   uint64_t payloadHash = 0;
+  /// Time in the local target's admission queue.
+  Duration queueTime{};
   std::string ticket;
   std::string orderKey;
   /// Value of the W3C `traceparent` header, passed on to the callee.
--- /dev/null
+++ b/wagtailbend/filters/threshold_filter.h
@@ -0,0 +1,36 @@
+// Rejects work that every target of its service would reject, at entry and
+// egress.
+//
+//   chain.Add(std::make_unique<ThresholdFilter>(thresholds));
+
+#pragma once
+
+#include "wagtailbend/admission/threshold_table.h"
+#include "wagtailbend/filters/filter.h"
+
+namespace wagtailbend::filters {
+
+class ThresholdFilter final : public Filter
+{
+public:
+  /// aThresholds must outlive the filter.
+  explicit ThresholdFilter(const admission::ThresholdTable& aThresholds)
+    : m_thresholds(aThresholds)
+  {
+  }
+
+  /// Returns kOverloaded if the priority is below the thresholds that the
+  /// service's targets told with their replies.
+  std::optional<Error> OnRequest(RequestContext& aContext,
+                                 TimePoint aNow) override;
+  void OnResponse(RequestContext& /*aContext*/,
+                  const Outcome& /*aOutcome*/,
+                  TimePoint /*aNow*/) override
+  {
+  }
+
+private:
+  const admission::ThresholdTable& m_thresholds;
+};
+
+} // namespace wagtailbend::filters
