--- a/wagtailbend/daemon/daemon.cc
+++ b/wagtailbend/daemon/daemon.cc
@@ -13,6 +13,8 @@
 #include "wagtailbend/filters/budget_filter.h"
 #include "wagtailbend/filters/deadline_filter.h"
 #include "wagtailbend/filters/threshold_filter.h"
+#include "wagtailbend/filters/trace_filter.h"
+#include "wagtailbend/observability/event_log.h"
 
 namespace wagtailbend::daemon {
 namespace {
@@ -90,10 +92,17 @@
   m_traffic.chooser = std::make_unique<PreferOwnChooser>();
   m_traffic.events = this;
   m_traffic.progressBound = m_options.progressBound;
-  // Section 4.1 gives the order of the filters of each address. The trace,
+  const settings::Settings& settings = m_options.settings;
+  if (!settings.traceUrl.empty()) {
+    m_exporter = std::make_unique<observability::OtlpExporter>(
+      settings.traceUrl, settings.name);
+  }
+  // Section 4.1 gives the order of the filters of each address. The
   // quarantine and order filters are added here.
   for (size_t i = 0; i < kOriginCount; ++i) {
     filters::FilterChain& chain = m_traffic.chains[i];
+    chain.Add(std::make_unique<filters::TraceFilter>(
+      m_exporter.get(), settings.traceSamplePerMillion));
     chain.Add(std::make_unique<filters::DeadlineFilter>(m_options.returnTime));
     if (static_cast<filters::Origin>(i) == filters::Origin::kPeer) {
       continue;
@@ -169,6 +178,10 @@
     OnControl([&] {
       if (m_target.Announce(std::move(aAnnouncement), MonotonicNow())) {
         m_traffic.gate.SetTarget(GateConfig(*m_schema, *m_target.Target()));
+        observability::Event("target_announced")
+          .Add("service", m_target.Target()->service)
+          .Add("address", m_target.Target()->address)
+          .Info();
         Publish();
       }
     });
@@ -183,6 +196,7 @@
   handlers.drain = [this] {
     OnControl([&] {
       if (m_target.Drain()) {
+        observability::Event("target_draining").Info();
         Publish();
       }
     });
