--- a/testing/caller.cc
+++ b/testing/caller.cc
@@ -74,6 +74,7 @@
     }
     m_record.error = text(trailers, daemon::kErrorKey);
     m_record.run = text(trailers, daemon::kRunKey);
+    m_record.retryAfter = text(trailers, daemon::kRetryAfterKey);
     m_record.frames = text(trailers, daemon::kFramesKey);
     m_record.checksum = text(trailers, daemon::kChecksumKey);
     m_done.set_value();
--- a/testing/caller.h
+++ b/testing/caller.h
@@ -26,6 +26,7 @@
   std::string echoedRequestId;
   std::string error;
   std::string run;
+  std::string retryAfter;
   std::string frames;
   std::string checksum;
 };
--- a/testing/deployment.cc
+++ b/testing/deployment.cc
@@ -127,6 +127,24 @@
   return reply && reply->status == 200 ? reply->body : "";
 }
 
+uint64_t
+Deployment::Calls(size_t aIndex)
+{
+  httplib::Client client("http://" + m_vms[aIndex].targetHttp);
+  auto reply = client.Get("/calls");
+  return reply && reply->status == 200 ? std::stoull(reply->body) : 0;
+}
+
+double
+Deployment::Metric(size_t aIndex, const std::string& aName)
+{
+  const std::string text = "\n" + Page(aIndex, "/metrics");
+  const size_t found = text.find("\n" + aName + " ");
+  return found == std::string::npos
+           ? 0
+           : std::stod(text.substr(found + aName.size() + 2));
+}
+
 bool
 Deployment::SetFault(size_t aIndex, const std::string& aJson)
 {
--- a/testing/deployment.h
+++ b/testing/deployment.h
@@ -51,6 +51,10 @@
   Vm& At(size_t aIndex) { return m_vms[aIndex]; }
   /// Posts aJson to the fault switch of the target. Returns false on failure.
   bool SetFault(size_t aIndex, const std::string& aJson);
+  /// Calls that have reached the target so far.
+  uint64_t Calls(size_t aIndex);
+  /// Value of a line of the daemon's metrics page; 0 if it is missing.
+  double Metric(size_t aIndex, const std::string& aName);
   /// Returns the body of a page of the daemon; "" on failure.
   std::string Page(size_t aIndex, const std::string& aPath);
   /// Waits until every running daemon sees aCount targets, its own included.
--- a/testing/fake_call.cc
+++ b/testing/fake_call.cc
@@ -1,6 +1,7 @@
 #include "testing/fake_call.h"
 
 #include <cstdlib>
+#include <utility>
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
@@ -40,6 +41,7 @@
   , m_method(aTarget.m_schema.FindMethod(aContext.method()))
 {
   m_target.m_reactors.fetch_add(1);
+  m_target.m_received.fetch_add(1);
   const auto& metadata = aContext.client_metadata();
   m_ids = { std::string(wb::FindMetadata(metadata, wb::kRequestIdKey)),
             std::string(wb::FindMetadata(metadata, wb::kAttemptIdKey)) };
@@ -183,6 +185,8 @@
     return;
   }
   m_response = BufferOf(ReplyFor(*m_descriptor, m_key, 0, 0));
+  // The work is done; OnDone may run after the caller's next request.
+  ReleaseSlot();
   StartWriteAndFinish(&m_response, grpc::WriteOptions(), grpc::Status::OK);
 }
 
@@ -267,11 +271,17 @@
 }
 
 void
-FakeCall::OnDone()
+FakeCall::ReleaseSlot()
 {
-  if (m_hasSlot) {
+  if (std::exchange(m_hasSlot, false)) {
     m_target.m_running.fetch_sub(1);
   }
+}
+
+void
+FakeCall::OnDone()
+{
+  ReleaseSlot();
   FakeTarget& target = m_target;
   delete this;
   target.m_reactors.fetch_sub(1);
--- a/testing/fake_call.h
+++ b/testing/fake_call.h
@@ -36,6 +36,7 @@
   void CallNext();
   void CallOne(const std::string& aPath);
   void Reply();
+  void ReleaseSlot();
   void SendPage();
   void Fail(grpc::StatusCode aCode,
             const char* aError,
--- a/testing/fake_target.h
+++ b/testing/fake_target.h
@@ -86,6 +86,8 @@
   /// Share of the slots in use, with the lag fault applied.
   double ReportedLoad();
   uint64_t Served() const { return m_served; }
+  /// Calls that reached the target, rejected ones included.
+  uint64_t Received() const { return m_received; }
 
 private:
   friend class FakeCall;
@@ -102,6 +104,7 @@
   std::atomic<uint32_t> m_running{ 0 };
   std::atomic<uint32_t> m_reactors{ 0 };
   std::atomic<uint64_t> m_served{ 0 };
+  std::atomic<uint64_t> m_received{ 0 };
   std::mutex m_mutex;
   std::ofstream m_orders;
   std::pair<std::string, std::string> m_lastIds;
--- a/testing/fake_target_main.cc
+++ b/testing/fake_target_main.cc
@@ -112,6 +112,11 @@
       ApplyFaults(aTarget.Faults(), json);
       aResponse.set_content("{}", "application/json");
     });
+  aServer.Get(
+    "/calls",
+    [&aTarget](const httplib::Request&, httplib::Response& aResponse) {
+      aResponse.set_content(std::to_string(aTarget.Received()), "text/plain");
+    });
 }
 
 cxxopts::Options
