Hedge slow idempotent lookups

Change: HedgedAttempt sends a second attempt to another target after the learned p95, paid by the ledger and the hedge ratio; the first complete response counts, the other attempt is cancelled and dropped. Orders, bulk work, streams and requests from peers are never hedged, nor are retries. Seen failing: HedgeSendsOneMoreAttemptAndOneResponse without hedges.

--- a/testing/traffic_test.cc
+++ b/testing/traffic_test.cc
@@ -176,5 +176,40 @@
   }
 }
 
+// Guards customers against waiting for a straggler, and targets against more
+// than one extra attempt for each lookup and 5% of all.
+TEST(Traffic, HedgeSendsOneMoreAttemptAndOneResponse)
+{
+  Deployment deployment(
+    "association",
+    { { "association.Settlements", { "--service-time-us", "2000" } },
+      { "association.Settlements", { "--service-time-us", "2000" } },
+      { "association.Payouts", {} } });
+  ASSERT_TRUE(deployment.Start());
+  Caller caller(deployment.At(2).customer);
+  for (int i = 0; i < 200; ++i) {
+    EXPECT_TRUE(IsComplete(caller.Call(kLookup, "warm"), kLookup, "warm"));
+  }
+  ASSERT_TRUE(deployment.SetFault(0, R"({"slow":200})"));
+  const uint64_t before = deployment.Calls(0) + deployment.Calls(1);
+  const double hedgesBefore = deployment.Metric(2, "wb_hedges_total");
+  constexpr uint64_t kCalls = 12;
+  uint64_t fast = 0;
+  for (uint64_t i = 0; i < kCalls; ++i) {
+    const auto start = std::chrono::steady_clock::now();
+    EXPECT_TRUE(IsComplete(caller.Call(kLookup, "trip"), kLookup, "trip"));
+    fast += std::chrono::steady_clock::now() - start < milliseconds(200);
+  }
+  const auto hedges = static_cast<uint64_t>(
+    deployment.Metric(2, "wb_hedges_total") - hedgesBefore);
+  const uint64_t calls = deployment.Calls(0) + deployment.Calls(1) - before;
+  std::printf(
+    "hedges %lu, calls %lu, fast %lu of %lu\n", hedges, calls, fast, kCalls);
+  EXPECT_GE(hedges, 1U);
+  EXPECT_LE(hedges, 11U);
+  EXPECT_EQ(calls, kCalls + hedges);
+  EXPECT_GE(fast, kCalls / 2);
+}
+
 } // namespace
 } // namespace wagtailbend::testing
--- a/wagtailbend/daemon/bridge.cc
+++ b/wagtailbend/daemon/bridge.cc
@@ -150,34 +150,35 @@
 }
 
 AttemptRequest
-Bridge::MakeAttemptRequest(uint32_t aAllotted)
+Bridge::MakeAttemptRequest(const HedgeLeg& aLeg)
 {
   const schema::Method& method = *m_context.method;
   AttemptRequest request;
-  request.link = m_destination->link;
+  request.link = aLeg.destination->link;
   request.work =
     method.kind == schema::Kind::kBulk ? WorkClass::kBulk : WorkClass::kShort;
   request.method = method.path;
   request.streamed = method.serverStreaming;
   request.payload = m_request;
-  request.progressBound = ProgressBound();
+  request.progressBound = ProgressBound(aLeg.start);
   // An order may have run already, so there is nothing to gain by ending it.
   request.cancelWhenSilent =
     request.streamed || (method.idempotent && !m_silenceSeen);
   request.deadline =
     std::chrono::system_clock::now() +
     std::chrono::duration_cast<std::chrono::system_clock::duration>(
-      m_context.deadline - m_attemptStart);
+      m_context.deadline - aLeg.start);
   auto& metadata = request.metadata;
   metadata.reserve(8);
   metadata.emplace_back(kRequestIdKey, m_context.requestId.ToString());
-  metadata.emplace_back(kAttemptIdKey, m_attemptId.ToString());
-  metadata.emplace_back(kAttemptsKey, fmt::format_int(aAllotted).str());
+  metadata.emplace_back(kAttemptIdKey, aLeg.attemptId.ToString());
+  metadata.emplace_back(kAttemptsKey,
+                        fmt::format_int(aLeg.grant.childBudget).str());
   metadata.emplace_back(kPriorityKey,
                         fmt::format_int(m_context.priority).str());
-  if (!m_destination->own) {
+  if (!aLeg.destination->own) {
     metadata.emplace_back(kIncarnationKey,
-                          ToHex(m_destination->daemon.incarnation));
+                          ToHex(aLeg.destination->daemon.incarnation));
     // Tells the peer's gate that the call belongs to admitted work.
     if (m_context.nested) {
       metadata.emplace_back(kParentKey, m_context.parent->ToString());
@@ -199,14 +200,14 @@
 // received the call from a peer uses a smaller share, so that the daemon
 // nearest to a silent connection is the one that replaces it.
 Duration
-Bridge::ProgressBound() const
+Bridge::ProgressBound(TimePoint aStart) const
 {
   if (m_context.method->serverStreaming) {
     return m_traffic.progressBound;
   }
   constexpr int kEntryShare = 2;
   constexpr int kIngressShare = 3;
-  Duration left = m_context.deadline - m_attemptStart;
+  Duration left = m_context.deadline - aStart;
   bool ingress = m_context.origin == filters::Origin::kPeer;
   return std::min(left / (ingress ? kIngressShare : kEntryShare),
                   m_traffic.progressBound);
--- a/wagtailbend/daemon/bridge.h
+++ b/wagtailbend/daemon/bridge.h
@@ -15,6 +15,7 @@
 #include <grpcpp/generic/async_generic_service.h>
 
 #include "wagtailbend/answers/response_verifier.h"
+#include "wagtailbend/daemon/hedging.h"
 #include "wagtailbend/daemon/traffic.h"
 
 namespace wagtailbend::daemon {
@@ -25,6 +26,7 @@
 class Bridge final
   : public grpc::ServerGenericBidiReactor
   , private AttemptObserver
+  , private HedgeOwner
 {
 public:
   Bridge(Traffic& aTraffic,
@@ -40,17 +42,25 @@
   void OnIds(const EchoedIds& aIds) override;
   void OnFrame(grpc::ByteBuffer&& aFrame) override;
   void OnEnd(const AttemptEnd& aEnd) override;
+  std::optional<HedgeLeg> StartHedge(TimePoint aNow) override;
+  void UseLeg(const HedgeLeg& aLeg) override;
+  answers::ResponseVerifier VerifierOf(const HedgeLeg& aLeg) override;
 
   void ReadMetadata();
   void RunFilters();
   void StartFirst();
   bool StartRetry(const Error& aError);
   void Send(const attempts::AttemptGrant& aGrant);
-  std::shared_ptr<Attempt> PrepareAttempt(const attempts::AttemptGrant& aGrant);
-  AttemptRequest MakeAttemptRequest(uint32_t aAllotted);
+  HedgeLeg StartLeg(const Destination& aDestination,
+                    const attempts::AttemptGrant& aGrant,
+                    TimePoint aNow);
+  std::optional<Duration> HedgeDelay() const;
+  std::shared_ptr<Attempt> PrepareAttempt(const HedgeLeg& aLeg,
+                                          AttemptObserver& aObserver);
+  AttemptRequest MakeAttemptRequest(const HedgeLeg& aLeg);
   void LearnFrom(const AttemptEnd& aEnd, bool aComplete, TimePoint aNow);
   void AddAdmissionTrailers(ErrorKind aKind);
-  Duration ProgressBound() const;
+  Duration ProgressBound(TimePoint aStart) const;
   bool Publish(const std::shared_ptr<Attempt>& aAttempt);
   std::optional<Error> ErrorOf(const AttemptEnd& aEnd, RunState& aRun);
   bool MayRetry(const Error& aError, RunState aRun) const;
@@ -76,6 +86,8 @@
 
   // The current attempt.
   const Destination* m_destination = nullptr;
+  // Keeps m_destination alive.
+  std::shared_ptr<const RoutingSnapshot> m_destinationView;
   AttemptId m_attemptId;
   attempts::AttemptGrant m_grant;
   TimePoint m_attemptStart;
--- a/wagtailbend/daemon/bridge_attempts.cc
+++ b/wagtailbend/daemon/bridge_attempts.cc
@@ -32,6 +32,7 @@
     return;
   }
   m_traffic.retryRatio.RecordCall(now);
+  m_snapshot->hedges->RecordCall(now);
   auto grant = m_context.ledger->StartCall(attempts::CostOf(method));
   if (!grant) {
     FinishWithError(
@@ -79,23 +80,22 @@
 void
 Bridge::Send(const AttemptGrant& aGrant)
 {
-  const TimePoint now = MonotonicNow();
-  m_attemptId = m_context.origin == Origin::kPeer
-                  ? m_context.attemptId
-                  : AttemptId::Random(ThreadRng());
-  m_grant = aGrant;
-  m_attemptStart = now;
+  HedgeLeg leg = StartLeg(*m_destination, aGrant, MonotonicNow());
+  UseLeg(leg);
   m_attemptError.reset();
-  m_tried.push_back(m_destination->daemon);
-  m_verifier.emplace(m_context.requestId,
-                     m_attemptId,
-                     m_context.method->serverStreaming,
-                     m_traffic.progressBound,
-                     now);
-  ++m_context.attemptsStarted;
-  m_traffic.counters.attempts.fetch_add(1, std::memory_order_relaxed);
-  m_traffic.chooser->OnStart(*m_destination, now);
-  auto attempt = PrepareAttempt(aGrant);
+  const std::optional<Duration> delay = HedgeDelay();
+  std::shared_ptr<Attempt> attempt;
+  if (delay) {
+    const DropLeg drop = [&traffic = m_traffic](const HedgeLeg& aLeg,
+                                                ErrorKind aError) {
+      const TimePoint now = MonotonicNow();
+      traffic.chooser->OnEnd(
+        *aLeg.destination, { aError, now - aLeg.start, {} }, now);
+    };
+    attempt = PrepareHedged(std::move(leg), *delay, *this, *this, drop);
+  } else {
+    attempt = PrepareAttempt(leg, *this);
+  }
   if (Publish(attempt)) {
     attempt->Cancel();
   }
@@ -103,22 +103,98 @@
   attempt->Begin();
 }
 
+// Counts an attempt that is about to be sent.
+HedgeLeg
+Bridge::StartLeg(const Destination& aDestination,
+                 const AttemptGrant& aGrant,
+                 TimePoint aNow)
+{
+  HedgeLeg leg;
+  leg.snapshot = m_snapshot;
+  leg.destination = &aDestination;
+  leg.attemptId = m_context.origin == Origin::kPeer
+                    ? m_context.attemptId
+                    : AttemptId::Random(ThreadRng());
+  leg.grant = aGrant;
+  leg.start = aNow;
+  leg.prepare = [this, prepared = leg](AttemptObserver& aObserver) {
+    return PrepareAttempt(prepared, aObserver);
+  };
+  m_tried.push_back(aDestination.daemon);
+  ++m_context.attemptsStarted;
+  m_traffic.counters.attempts.fetch_add(1, std::memory_order_relaxed);
+  m_traffic.chooser->OnStart(aDestination, aNow);
+  return leg;
+}
+
+// Returns after what time a second attempt is sent beside the first one.
+std::optional<Duration>
+Bridge::HedgeDelay() const
+{
+  const schema::Method& method = *m_context.method;
+  if (m_context.origin == Origin::kPeer || method.serverStreaming ||
+      m_context.attemptsStarted != 1) {
+    return std::nullopt;
+  }
+  // The policy knows only idempotent lookups.
+  return m_snapshot->hedges->Delay(method.path);
+}
+
+std::optional<HedgeLeg>
+Bridge::StartHedge(TimePoint aNow)
+{
+  const Destination* other = m_traffic.chooser->Choose(
+    m_context, *m_snapshot, m_tried, aNow, ThreadRng());
+  if (!other || std::find(m_tried.begin(), m_tried.end(), other->daemon) !=
+                  m_tried.end()) {
+    return std::nullopt;
+  }
+  auto grant = m_snapshot->hedges->TryHedge(
+    m_context.method->path, aNow - m_attemptStart, *m_context.ledger, aNow);
+  if (!grant) {
+    return std::nullopt;
+  }
+  m_traffic.counters.hedges.fetch_add(1, std::memory_order_relaxed);
+  return StartLeg(*other, *grant, aNow);
+}
+
+void
+Bridge::UseLeg(const HedgeLeg& aLeg)
+{
+  m_destination = aLeg.destination;
+  m_destinationView = aLeg.snapshot;
+  m_attemptId = aLeg.attemptId;
+  m_grant = aLeg.grant;
+  m_attemptStart = aLeg.start;
+  m_verifier.emplace(VerifierOf(aLeg));
+}
+
+answers::ResponseVerifier
+Bridge::VerifierOf(const HedgeLeg& aLeg)
+{
+  return { m_context.requestId,
+           aLeg.attemptId,
+           m_context.method->serverStreaming,
+           m_traffic.progressBound,
+           aLeg.start };
+}
+
 std::shared_ptr<Attempt>
-Bridge::PrepareAttempt(const AttemptGrant& aGrant)
+Bridge::PrepareAttempt(const HedgeLeg& aLeg, AttemptObserver& aObserver)
 {
-  AttemptRequest request = MakeAttemptRequest(aGrant.childBudget);
-  if (!m_destination->own) {
-    return m_traffic.transport->Prepare(std::move(request), *this);
+  AttemptRequest request = MakeAttemptRequest(aLeg);
+  if (!aLeg.destination->own) {
+    return m_traffic.transport->Prepare(std::move(request), aObserver);
   }
-  LocalRun run{ m_schema,         m_context.method,   m_context.requestId,
-                m_attemptId,      m_context.deadline, m_context.priority,
-                m_context.nested, aGrant.childBudget };
+  LocalRun run{ m_schema,         m_context.method,      m_context.requestId,
+                aLeg.attemptId,   m_context.deadline,    m_context.priority,
+                m_context.nested, aLeg.grant.childBudget };
   return PrepareGated(*m_traffic.transport,
                       m_traffic.gate,
                       m_traffic.registry,
                       std::move(run),
                       std::move(request),
-                      *this);
+                      aObserver);
 }
 
 // Takes what the end of an attempt tells about budget and admission.
@@ -136,6 +212,8 @@
       m_context.method->service, m_destination->daemon.name, *threshold, aNow);
   }
   if (aComplete) {
+    m_snapshot->hedges->RecordLatency(m_context.method->path,
+                                      aNow - m_attemptStart);
     m_context.ledger->CompleteInFull(m_grant,
                                      ParseNumber(aEnd.attemptsLeft, 0));
   }
--- a/wagtailbend/daemon/control.cc
+++ b/wagtailbend/daemon/control.cc
@@ -41,6 +41,7 @@
 {
   auto snapshot = std::make_shared<RoutingSnapshot>();
   snapshot->schema = m_schema;
+  snapshot->hedges = m_hedges.For(m_schema);
   snapshot->draining = m_draining;
   if (m_target.Target() && !m_target.Draining()) {
     snapshot->ownService = m_target.Target()->service;
@@ -197,6 +198,7 @@
   add("wb_completed_total", counters.completed);
   add("wb_attempts_total", counters.attempts);
   add("wb_retries_total", counters.retries);
+  add("wb_hedges_total", counters.hedges);
   add("wb_answer_mismatches_total", counters.mismatches);
   for (size_t i = 0; i < kErrorKindCount; ++i) {
     add(fmt::format("wb_errors_total{{kind=\"{}\"}}",
--- a/wagtailbend/daemon/daemon.h
+++ b/wagtailbend/daemon/daemon.h
@@ -17,6 +17,7 @@
 #include <grpcpp/server.h>
 
 #include "wagtailbend/base/result.h"
+#include "wagtailbend/daemon/hedging.h"
 #include "wagtailbend/daemon/http_pages.h"
 #include "wagtailbend/daemon/options.h"
 #include "wagtailbend/daemon/seed_directory.h"
@@ -78,6 +79,7 @@
   // Outlives the trace filters in m_traffic. Null: spans are not exported.
   std::unique_ptr<observability::OtlpExporter> m_exporter;
   Traffic m_traffic;
+  HedgePolicies m_hedges;
 
   asio::io_context m_control;
   asio::signal_set m_signals{ m_control };
--- a/wagtailbend/daemon/routing_snapshot.h
+++ b/wagtailbend/daemon/routing_snapshot.h
@@ -12,6 +12,7 @@
 #include <string>
 #include <vector>
 
+#include "wagtailbend/attempts/hedge.h"
 #include "wagtailbend/base/ids.h"
 #include "wagtailbend/daemon/channel_pool.h"
 #include "wagtailbend/schema/schema.h"
@@ -33,6 +34,8 @@
 struct RoutingSnapshot
 {
   std::shared_ptr<const schema::Schema> schema;
+  /// Learned for this schema; null without one.
+  std::shared_ptr<attempts::HedgePolicy> hedges;
   std::optional<Destination> ownTarget;
   /// Service of the own target; "" without one.
   std::string ownService;
--- a/wagtailbend/daemon/traffic.h
+++ b/wagtailbend/daemon/traffic.h
@@ -27,6 +27,7 @@
   std::atomic<uint64_t> completed{ 0 };
   std::atomic<uint64_t> attempts{ 0 };
   std::atomic<uint64_t> retries{ 0 };
+  std::atomic<uint64_t> hedges{ 0 };
   std::atomic<uint64_t> mismatches{ 0 };
   std::array<std::atomic<uint64_t>, kErrorKindCount> errors{};
 
