--- a/testing/caller.h
+++ b/testing/caller.h
@@ -27,6 +27,7 @@
   std::string echoedRequestId;
   std::string error;
   std::string run;
+  std::string retryAfter;
   std::string frames;
   std::string checksum;
   /// Ticket that an order was sent with.
--- a/wagtailbend/daemon/bridge.cc
+++ b/wagtailbend/daemon/bridge.cc
@@ -11,13 +11,6 @@
 namespace wagtailbend::daemon {
 namespace {
 
-Rng&
-ThreadRng()
-{
-  thread_local Rng rng = MakeSeededRng();
-  return rng;
-}
-
 /// Calls aVisit with each contiguous part of aBuffer.
 template<typename Visit>
 void
@@ -100,6 +93,7 @@
   }
   m_context.priority = m_context.method->priority;
   if (m_context.origin == filters::Origin::kPeer) {
+    m_context.nested = m_context.parent.has_value();
     m_context.priority =
       std::min(ParseNumber(text(kPriorityKey), m_context.priority),
                schema::kMaxPriority);
@@ -158,7 +152,6 @@
 Bridge::RunFilters()
 {
   m_context.payloadHash = HashOf(m_request);
-  m_traffic.attempts->Open(m_context, m_allotted);
   auto& chain = m_traffic.chains[static_cast<size_t>(m_context.origin)];
   auto error = chain.OnRequest(m_context, m_context.arrival, m_filtersEntered);
   if (error) {
@@ -170,110 +163,44 @@
     BeginOrder();
     return;
   }
-  if (m_context.origin != filters::Origin::kPeer || !m_traffic.gate) {
-    StartAttempt();
-    return;
-  }
-  m_traffic.gate->Enter(
-    m_context, m_context.arrival, [this](std::optional<Error> aError) {
-      OnAdmitted(std::move(aError));
-    });
-}
-
-void
-Bridge::OnAdmitted(std::optional<Error> aError)
-{
-  if (aError) {
-    RunState run = AnswerFor(aError->kind).runState;
-    FinishWithError(std::move(*aError), run, nullptr);
-    return;
-  }
-  m_admitted = true;
-  StartAttempt();
-}
-
-void
-Bridge::StartAttempt()
-{
-  TimePoint now = MonotonicNow();
-  m_destination = m_traffic.chooser->Choose(
-    m_context, *m_snapshot, m_tried, now, ThreadRng());
-  if (!m_destination) {
-    FinishWithError({ ErrorKind::kNoTarget, m_context.method->service },
-                    m_mayHaveRun ? RunState::kMayHaveRun : RunState::kNotRun,
-                    nullptr);
-    return;
-  }
-  std::optional<uint32_t> allotted = m_traffic.attempts->Draw(m_context);
-  if (!allotted) {
-    FinishWithError(
-      { ErrorKind::kAttemptsExhausted, "" }, RunState::kNotRun, nullptr);
-    return;
-  }
-  if (auto error = StartOrder()) {
-    RunState run = AnswerFor(error->kind).runState;
-    FinishWithError(std::move(*error), run, nullptr);
-    return;
-  }
-  m_tried.push_back(m_destination->daemon);
-  m_traffic.counters.attempts.fetch_add(1, std::memory_order_relaxed);
-  m_traffic.chooser->OnStart(*m_destination, now);
-  Send(*allotted);
-}
-
-// Precondition: m_destination is set.
-void
-Bridge::Send(uint32_t aAllotted)
-{
-  TimePoint now = MonotonicNow();
-  m_attemptId = m_context.origin == filters::Origin::kPeer && !m_context.relayed
-                  ? m_context.attemptId
-                  : AttemptId::Random(ThreadRng());
-  m_attemptStart = now;
-  m_attemptError.reset();
-  m_verifier.emplace(m_context.requestId,
-                     m_attemptId,
-                     m_context.method->serverStreaming,
-                     m_traffic.progressBound,
-                     now);
-  auto attempt =
-    m_traffic.transport->Prepare(MakeAttemptRequest(aAllotted), *this);
-  if (Publish(attempt)) {
-    attempt->Cancel();
-  }
-  attempt->Begin();
+  StartFirst();
 }
 
 AttemptRequest
-Bridge::MakeAttemptRequest(uint32_t aAllotted)
+Bridge::MakeAttemptRequest(const HedgeLeg& aLeg)
 {
   const schema::Method& method = *m_context.method;
   AttemptRequest request;
-  request.link = m_destination->link;
+  request.link = aLeg.destination->link;
   request.work =
     method.kind == schema::Kind::kBulk ? WorkClass::kBulk : WorkClass::kShort;
   request.method = method.path;
   request.streamed = method.serverStreaming;
   request.payload = m_request;
-  request.progressBound = ProgressBound();
+  request.progressBound = ProgressBound(aLeg.start);
   // An order may have run already, so there is nothing to gain by ending it.
   request.cancelWhenSilent =
     request.streamed || (method.idempotent && !m_silenceSeen);
   request.deadline =
     std::chrono::system_clock::now() +
     std::chrono::duration_cast<std::chrono::system_clock::duration>(
-      m_context.deadline - m_attemptStart);
+      m_context.deadline - aLeg.start);
   auto& metadata = request.metadata;
   metadata.reserve(8);
   metadata.emplace_back(kRequestIdKey, m_context.requestId.ToString());
-  metadata.emplace_back(kAttemptIdKey, m_attemptId.ToString());
-  metadata.emplace_back(kAttemptsKey, fmt::format_int(aAllotted).str());
+  metadata.emplace_back(kAttemptIdKey, aLeg.attemptId.ToString());
+  metadata.emplace_back(kAttemptsKey,
+                        fmt::format_int(aLeg.grant.childBudget).str());
   metadata.emplace_back(kPriorityKey,
                         fmt::format_int(m_context.priority).str());
   // Without it a daemon takes an order for one that it is the home of.
-  if (!m_destination->own && m_order.role != OrderRole::kRelay) {
+  if (!aLeg.destination->own && m_order.role != OrderRole::kRelay) {
     metadata.emplace_back(kIncarnationKey,
-                          ToHex(m_destination->daemon.incarnation));
+                          ToHex(aLeg.destination->daemon.incarnation));
+    // Tells the peer's gate that the call belongs to admitted work.
+    if (m_context.nested) {
+      metadata.emplace_back(kParentKey, m_context.parent->ToString());
+    }
   }
   if (!m_context.ticket.empty()) {
     metadata.emplace_back(kTicketKey, m_context.ticket);
@@ -291,20 +218,26 @@
 // received the call from a peer uses a smaller share, so that the daemon
 // nearest to a silent connection is the one that replaces it.
 Duration
-Bridge::ProgressBound() const
+Bridge::ProgressBound(TimePoint aStart) const
 {
   if (m_context.method->serverStreaming) {
     return m_traffic.progressBound;
   }
   constexpr int kEntryShare = 2;
   constexpr int kIngressShare = 3;
-  Duration left = m_context.deadline - m_attemptStart;
-  bool ingress =
-    m_context.origin == filters::Origin::kPeer && !m_context.relayed;
+  Duration left = m_context.deadline - aStart;
+  bool ingress = EndsHere();
   return std::min(left / (ingress ? kIngressShare : kEntryShare),
                   m_traffic.progressBound);
 }
 
+// Returns true if the own target must run the request: a peer chose it.
+bool
+Bridge::EndsHere() const
+{
+  return m_context.origin == filters::Origin::kPeer && !m_context.relayed;
+}
+
 // Makes the attempt visible to OnCancel. Returns true if the caller has
 // cancelled already.
 bool
--- a/wagtailbend/daemon/bridge.h
+++ b/wagtailbend/daemon/bridge.h
@@ -16,6 +16,7 @@
 
 #include "wagtailbend/answers/response_verifier.h"
 #include "wagtailbend/daemon/bridge_order.h"
+#include "wagtailbend/daemon/hedging.h"
 #include "wagtailbend/daemon/traffic.h"
 
 namespace wagtailbend::daemon {
@@ -26,6 +27,7 @@
 class Bridge final
   : public grpc::ServerGenericBidiReactor
   , private AttemptObserver
+  , private HedgeOwner
 {
 public:
   Bridge(Traffic& aTraffic,
@@ -41,13 +43,25 @@
   void OnIds(const EchoedIds& aIds) override;
   void OnFrame(grpc::ByteBuffer&& aFrame) override;
   void OnEnd(const AttemptEnd& aEnd) override;
+  std::optional<HedgeLeg> StartHedge(TimePoint aNow) override;
+  void UseLeg(const HedgeLeg& aLeg) override;
+  answers::ResponseVerifier VerifierOf(const HedgeLeg& aLeg) override;
 
   void ReadMetadata();
   void RunFilters();
-  void OnAdmitted(std::optional<Error> aError);
-  void StartAttempt();
-  AttemptRequest MakeAttemptRequest(uint32_t aAllotted);
-  Duration ProgressBound() const;
+  void StartFirst();
+  bool StartRetry(const Error& aError);
+  void Send(const attempts::AttemptGrant& aGrant);
+  HedgeLeg StartLeg(const Destination& aDestination,
+                    const attempts::AttemptGrant& aGrant,
+                    TimePoint aNow);
+  std::optional<Duration> HedgeDelay() const;
+  std::shared_ptr<Attempt> PrepareAttempt(const HedgeLeg& aLeg,
+                                          AttemptObserver& aObserver);
+  AttemptRequest MakeAttemptRequest(const HedgeLeg& aLeg);
+  void LearnFrom(const AttemptEnd& aEnd, bool aComplete, TimePoint aNow);
+  void AddAdmissionTrailers(ErrorKind aKind);
+  Duration ProgressBound(TimePoint aStart) const;
   bool Publish(const std::shared_ptr<Attempt>& aAttempt);
   std::optional<Error> ErrorOf(const AttemptEnd& aEnd, RunState& aRun);
   bool MayRetry(const Error& aError, RunState aRun) const;
@@ -60,7 +74,7 @@
   void Leave(const filters::Outcome& aOutcome);
   bool Abandoned() const;
   void NoteFailure(const Error& aError, const AttemptEnd& aEnd);
-  void Send(uint32_t aAllotted);
+  bool EndsHere() const;
 
   // Orders, in bridge_order.cc.
   std::optional<Error> OpenOrder();
@@ -70,7 +84,7 @@
   void RelayOrder(const DaemonId& aHome, std::shared_ptr<PeerLink> aLink);
   void ReplayOrder(const orders::StoredResponse& aResponse);
   void RejectOrder(Error aError);
-  std::optional<Error> StartOrder();
+  std::optional<Error> GrantOrder();
   void EndGrant(std::optional<Error> aError,
                 RunState aRun,
                 const AttemptEnd& aEnd);
@@ -85,14 +99,17 @@
   std::shared_ptr<const schema::Schema> m_schema;
   filters::RequestContext m_context;
   size_t m_filtersEntered = 0;
-  bool m_admitted = false;
+  // Value of `wb-attempts`.
   std::optional<uint32_t> m_allotted;
   grpc::ByteBuffer m_request;
   grpc::ByteBuffer m_response;
 
   // The current attempt.
   const Destination* m_destination = nullptr;
+  // Keeps m_destination alive.
+  std::shared_ptr<const RoutingSnapshot> m_destinationView;
   AttemptId m_attemptId;
+  attempts::AttemptGrant m_grant;
   TimePoint m_attemptStart;
   std::optional<answers::ResponseVerifier> m_verifier;
   std::optional<Error> m_attemptError;
@@ -105,6 +122,9 @@
   bool m_mayHaveRun = false;
   uint64_t m_responseBytes = 0;
   OrderProgress m_order;
+  // What the last attempt told about admission, passed on to the caller.
+  std::string m_threshold;
+  std::string m_retryAfter;
 
   std::atomic<bool> m_cancelled{ false };
   // The attempt goes on without the caller. Set before the attempt is visible
--- a/wagtailbend/daemon/bridge_order.cc
+++ b/wagtailbend/daemon/bridge_order.cc
@@ -1,8 +1,8 @@
 // The part of Bridge that runs orders at most once (design page, section 4.6).
 //
-// Entry: OpenOrder, filters, BeginOrder; then as home StartAttempt, StartOrder
+// Entry: OpenOrder, filters, BeginOrder; then as home StartFirst, GrantOrder
 // and EndGrant, or RelayOrder. Executor: OpenOrder records the grant, filters
-// and admission follow, StartOrder precedes the hand-over to the target. Every
+// and the gated attempt follow, which starts or rejects the order. Every
 // rejection passes ConfirmRunState, which keeps "not run" true.
 
 #include <algorithm>
@@ -60,6 +60,13 @@
   }
   m_order.role = OrderRole::kEntry;
   m_context.relayed = fromPeer;
+  if (fromPeer) {
+    // The entry has paid for one call; the home pays for its grants from that.
+    const attempts::CallCost cost = attempts::CostOf(*m_context.method);
+    m_context.ledger = std::make_shared<attempts::AttemptLedger>(
+      m_allotted.value_or(cost.minimum - 1) + 1,
+      std::vector<attempts::CallCost>{ cost });
+  }
   return std::nullopt;
 }
 
@@ -119,7 +126,7 @@
     parts.book.Begin(ticket, hash, MonotonicNow(), [this] { BeginOrder(); });
   switch (decision.kind) {
     case BeginKind::kRun:
-      StartAttempt();
+      StartFirst();
       return;
     case BeginKind::kJoin:
       // The waiter may have run already; *this may be gone.
@@ -181,8 +188,18 @@
   m_order.role = OrderRole::kRelay;
   m_order.home = Destination{ aHome, std::move(aLink), false };
   m_destination = &m_order.home;
-  // The home makes the attempts, so they are not drawn here.
-  Send(std::max(m_context.attemptsLeft, 1U) - 1);
+  if (m_context.relayed) {
+    // This home stopped: its successor gets all that the caller allotted.
+    Send({ m_allotted.value_or(m_context.method->minimumAttempts - 1), 0 });
+    return;
+  }
+  auto grant = m_context.ledger->StartCall(attempts::CostOf(*m_context.method));
+  if (!grant) {
+    FinishWithError(
+      { ErrorKind::kAttemptsExhausted, "" }, RunState::kNotRun, nullptr);
+    return;
+  }
+  Send(*grant);
 }
 
 void
@@ -202,41 +219,27 @@
   FinishComplete({});
 }
 
-// Directly before the attempt is sent: at the home the grant, at the daemon of
-// the target the start. Both if the target is the home's own.
+// Before an attempt of the home: grants the order to the target's daemon. Does
+// nothing for other requests.
 std::optional<Error>
-Bridge::StartOrder()
+Bridge::GrantOrder()
 {
-  if (m_order.role == OrderRole::kNone) {
+  if (m_order.role != OrderRole::kEntry) {
     return std::nullopt;
   }
   OrderBook& book = m_traffic.orders->book;
-  const orders::Ticket& ticket = *m_order.ticket;
-  if (m_order.role == OrderRole::kEntry) {
-    // A daemon that rejected the order holds a tombstone and never runs it.
-    if (std::ranges::find(m_tried, m_destination->daemon) != m_tried.end()) {
-      return Error{ ErrorKind::kNoTarget, "no other target" };
-    }
-    auto grant = book.GrantTo(ticket, m_destination->daemon);
-    if (const Error* error = GetError(grant)) {
-      return *error;
-    }
-    m_order.grant = GetValue(grant);
-    // Others may wait for the order, and its response is kept for a resend.
-    m_detached.store(true);
-    if (!m_destination->own) {
-      return std::nullopt;
-    }
-    (void)book.OnGrant(ticket, book.Self(), MonotonicNow());
+  auto grant = book.GrantTo(*m_order.ticket, m_destination->daemon);
+  if (const Error* error = GetError(grant)) {
+    return *error;
   }
-  if (book.Start(ticket)) {
-    return std::nullopt;
-  }
-  if (m_order.grant) {
-    (void)book.OnOutcome(*m_order.grant, orders::MayHaveRun{}, MonotonicNow());
-    m_order.grant.reset();
+  m_order.grant = GetValue(grant);
+  // Others may wait for the order, and its response is kept for a resend.
+  m_detached.store(true);
+  if (m_destination->own) {
+    // An unusable grant is refused when it is to be started.
+    (void)book.OnGrant(*m_order.ticket, book.Self(), MonotonicNow());
   }
-  return Error{ ErrorKind::kOutcomeUnknown, "order was started before" };
+  return std::nullopt;
 }
 
 void
@@ -315,14 +318,9 @@
     FinishWithError(std::move(aError), RunState::kMayHaveRun, nullptr);
     return;
   }
-  const schema::Method& method = *m_context.method;
   if (effect == OutcomeEffect::kMayGrantAgain && !m_cancelled.load() &&
-      AnswerFor(aError.kind).retryable &&
-      m_context.attemptsLeft >= method.minimumAttempts &&
-      MonotonicNow() < m_context.deadline) {
-    m_traffic.counters.retries.fetch_add(1, std::memory_order_relaxed);
-    m_snapshot = m_traffic.snapshots.Load();
-    StartAttempt();
+      AnswerFor(aError.kind).retryable && MonotonicNow() < m_context.deadline &&
+      StartRetry(aError)) {
     return;
   }
   FinishWithError(std::move(aError), RunState::kNotRun, nullptr);
--- a/wagtailbend/daemon/daemon.cc
+++ b/wagtailbend/daemon/daemon.cc
@@ -11,7 +11,9 @@
 #include "wagtailbend/daemon/bridge.h"
 #include "wagtailbend/daemon/grpc_transport.h"
 #include "wagtailbend/daemon/order_services.h"
+#include "wagtailbend/filters/budget_filter.h"
 #include "wagtailbend/filters/deadline_filter.h"
+#include "wagtailbend/filters/threshold_filter.h"
 #include "wagtailbend/filters/trace_filter.h"
 #include "wagtailbend/observability/event_log.h"
 #include "wagtailbend/platform/http_platform.h"
@@ -93,7 +95,6 @@
 {
   m_traffic.transport = std::make_unique<GrpcTransport>();
   m_traffic.chooser = std::make_unique<PreferOwnChooser>();
-  m_traffic.attempts = std::make_unique<FixedCostPolicy>();
   m_traffic.events = this;
   m_traffic.progressBound = m_options.progressBound;
   const settings::Settings& settings = m_options.settings;
@@ -102,11 +103,17 @@
       settings.traceUrl, settings.name);
   }
   // Section 4.1 gives the order of the filters of each address. The
-  // quarantine, budget, threshold and order filters are added here.
-  for (filters::FilterChain& chain : m_traffic.chains) {
+  // quarantine and order filters are added here.
+  for (size_t i = 0; i < kOriginCount; ++i) {
+    filters::FilterChain& chain = m_traffic.chains[i];
     chain.Add(std::make_unique<filters::TraceFilter>(
       m_exporter.get(), settings.traceSamplePerMillion));
     chain.Add(std::make_unique<filters::DeadlineFilter>(m_options.returnTime));
+    if (static_cast<filters::Origin>(i) == filters::Origin::kPeer) {
+      continue;
+    }
+    chain.Add(std::make_unique<filters::BudgetFilter>(m_traffic.registry));
+    chain.Add(std::make_unique<filters::ThresholdFilter>(m_traffic.thresholds));
   }
 }
 
@@ -205,6 +212,7 @@
   }
   OnControl([&] {
     if (m_target.Announce(std::move(aAnnouncement), MonotonicNow())) {
+      m_traffic.gate.SetTarget(GateConfig(*m_schema, *m_target.Target()));
       observability::Event("target_announced")
         .Add("service", m_target.Target()->service)
         .Add("address", m_target.Target()->address)
--- a/wagtailbend/daemon/traffic.h
+++ b/wagtailbend/daemon/traffic.h
@@ -6,6 +6,10 @@
 #include <atomic>
 #include <memory>
 
+#include "wagtailbend/admission/threshold_table.h"
+#include "wagtailbend/attempts/ratio_limiter.h"
+#include "wagtailbend/attempts/registry.h"
+#include "wagtailbend/daemon/ingress_gate.h"
 #include "wagtailbend/daemon/order_parts.h"
 #include "wagtailbend/daemon/peer_transport.h"
 #include "wagtailbend/daemon/policies.h"
@@ -24,6 +28,7 @@
   std::atomic<uint64_t> completed{ 0 };
   std::atomic<uint64_t> attempts{ 0 };
   std::atomic<uint64_t> retries{ 0 };
+  std::atomic<uint64_t> hedges{ 0 };
   std::atomic<uint64_t> mismatches{ 0 };
   std::array<std::atomic<uint64_t>, kErrorKindCount> errors{};
 
@@ -56,11 +61,14 @@
   std::unique_ptr<PeerTransport> transport;
   /// By Origin.
   std::array<filters::FilterChain, kOriginCount> chains;
-  /// Null: every request is admitted at once. Used for requests that the own
-  /// target runs.
-  std::unique_ptr<filters::AdmissionGate> gate;
+  /// In front of the own target.
+  IngressGate gate;
+  /// The requests that the own target runs.
+  attempts::RequestRegistry registry;
+  admission::ThresholdTable thresholds;
+  attempts::RatioLimiter retryRatio{ attempts::kRetryRatioPercent,
+                                     attempts::kRetryAllowance };
   std::unique_ptr<TargetChooser> chooser;
-  std::unique_ptr<AttemptPolicy> attempts;
   TrafficEvents* events = nullptr;
   /// Null: orders are passed on like other calls.
   OrderParts* orders = nullptr;
--- a/wagtailbend/filters/trace_filter.cc
+++ b/wagtailbend/filters/trace_filter.cc
@@ -9,13 +9,6 @@
 
 using observability::TraceContext;
 
-Rng&
-ThreadRng()
-{
-  thread_local Rng rng = MakeSeededRng();
-  return rng;
-}
-
 int64_t
 UnixNanos()
 {
@@ -59,6 +52,8 @@
   span.attributes = {
     { "wb.request_id", aContext.requestId.ToString() },
     { "wb.attempts", fmt::format("{}", aContext.attemptsStarted) },
+    { "wb.queue_ms",
+      fmt::format("{:.3f}", ToFractionalMilliseconds(aContext.queueTime)) },
   };
   if (aOutcome.error) {
     span.attributes.emplace_back("wb.error",
