Export the metrics of the request path through MetricsRegistry

Change: TrafficMetrics has calls and errors by origin and kind, attempts, retries, hedges, the state of admission, and queue time and latency by work class.

--- a/wagtailbend/daemon/bridge.cc
+++ b/wagtailbend/daemon/bridge.cc
@@ -61,9 +61,7 @@
   m_context.origin = aOrigin;
   m_context.arrival = MonotonicNow();
   m_context.deadline = DeadlineOf(aServerContext, m_context.arrival);
-  auto origin = static_cast<size_t>(aOrigin);
-  m_traffic.counters.inFlight[origin].fetch_add(1);
-  m_traffic.counters.requests[origin].fetch_add(1, std::memory_order_relaxed);
+  m_traffic.counters.OnArrival(aOrigin);
   ReadMetadata();
   StartRead(&m_request);
 }
--- a/wagtailbend/daemon/bridge_attempts.cc
+++ b/wagtailbend/daemon/bridge_attempts.cc
@@ -14,6 +14,14 @@
 using attempts::AttemptGrant;
 using filters::Origin;
 
+namespace {
+
+// The timer runs on the system clock, so it may fire early on the monotonic
+// clock; the policy would then refuse the hedge.
+constexpr Duration kTimerSlack = std::chrono::milliseconds(1);
+
+} // namespace
+
 void
 Bridge::StartFirst()
 {
@@ -71,7 +79,7 @@
     m_context.ledger->CancelUnsent(*grant);
     return false;
   }
-  m_traffic.counters.retries.fetch_add(1, std::memory_order_relaxed);
+  m_traffic.counters.retries.Add(1);
   m_destination = next;
   Send(*grant);
   return true;
@@ -122,7 +130,7 @@
   };
   m_tried.push_back(aDestination.daemon);
   ++m_context.attemptsStarted;
-  m_traffic.counters.attempts.fetch_add(1, std::memory_order_relaxed);
+  m_traffic.counters.attempts.Add(1);
   m_traffic.chooser->OnStart(aDestination, aNow);
   return leg;
 }
@@ -154,7 +162,7 @@
   if (!grant) {
     return std::nullopt;
   }
-  m_traffic.counters.hedges.fetch_add(1, std::memory_order_relaxed);
+  m_traffic.counters.hedges.Add(1);
   return StartLeg(*other, *grant, aNow);
 }
 
--- a/wagtailbend/daemon/bridge_end.cc
+++ b/wagtailbend/daemon/bridge_end.cc
@@ -98,7 +98,7 @@
 Bridge::FailAttempt(Error aError, RunState aRun, const AttemptEnd& aEnd)
 {
   if (aError.kind == ErrorKind::kAnswerMismatch) {
-    m_traffic.counters.mismatches.fetch_add(1, std::memory_order_relaxed);
+    m_traffic.counters.mismatches.Add(1);
   }
   // A peer whose target has gone would cost each request sent to it a retry
   // until the control thread hears of it.
@@ -144,8 +144,6 @@
                         const grpc::Status* aStatus)
 {
   const ErrorAnswer& answer = AnswerFor(aError.kind);
-  m_traffic.counters.errors[static_cast<size_t>(aError.kind)].fetch_add(
-    1, std::memory_order_relaxed);
   grpc::Status status = aStatus ? *aStatus : StatusOf(aError);
   m_serverContext.AddTrailingMetadata(kRequestIdKey,
                                       m_context.requestId.ToString());
@@ -161,7 +159,6 @@
 void
 Bridge::FinishComplete(const AttemptEnd& aEnd)
 {
-  m_traffic.counters.completed.fetch_add(1, std::memory_order_relaxed);
   if (m_context.method->serverStreaming) {
     m_serverContext.AddTrailingMetadata(kFramesKey, std::string(aEnd.frames));
     m_serverContext.AddTrailingMetadata(kChecksumKey,
@@ -187,6 +184,7 @@
 Bridge::Leave(const filters::Outcome& aOutcome)
 {
   TimePoint now = MonotonicNow();
+  m_traffic.counters.OnEnd(m_context, aOutcome, now);
   auto& chain = m_traffic.chains[static_cast<size_t>(m_context.origin)];
   chain.OnResponse(m_context, aOutcome, now, m_filtersEntered);
 }
--- a/wagtailbend/daemon/control.cc
+++ b/wagtailbend/daemon/control.cc
@@ -183,29 +183,7 @@
 std::string
 Daemon::MetricsText() const
 {
-  static constexpr const char* kOrigins[] = { "customer", "peer", "target" };
-  const TrafficCounters& counters = m_traffic.counters;
-  std::string text;
-  auto add = [&text](std::string_view aName, uint64_t aValue) {
-    text += fmt::format("{} {}\n", aName, aValue);
-  };
-  for (size_t i = 0; i < kOriginCount; ++i) {
-    add(fmt::format("wb_requests_total{{origin=\"{}\"}}", kOrigins[i]),
-        counters.requests[i]);
-    add(fmt::format("wb_in_flight{{origin=\"{}\"}}", kOrigins[i]),
-        counters.inFlight[i]);
-  }
-  add("wb_completed_total", counters.completed);
-  add("wb_attempts_total", counters.attempts);
-  add("wb_retries_total", counters.retries);
-  add("wb_hedges_total", counters.hedges);
-  add("wb_answer_mismatches_total", counters.mismatches);
-  for (size_t i = 0; i < kErrorKindCount; ++i) {
-    add(fmt::format("wb_errors_total{{kind=\"{}\"}}",
-                    AnswerFor(static_cast<ErrorKind>(i)).name),
-        counters.errors[i]);
-  }
-  return text;
+  return m_traffic.counters.registry.Text();
 }
 
 } // namespace wagtailbend::daemon
--- a/wagtailbend/daemon/daemon.cc
+++ b/wagtailbend/daemon/daemon.cc
@@ -91,6 +91,7 @@
   m_traffic.transport = std::make_unique<GrpcTransport>();
   m_traffic.chooser = std::make_unique<PreferOwnChooser>();
   m_traffic.events = this;
+  m_traffic.counters.Observe(m_traffic.gate);
   m_traffic.progressBound = m_options.progressBound;
   const settings::Settings& settings = m_options.settings;
   if (!settings.traceUrl.empty()) {
--- a/wagtailbend/daemon/traffic.h
+++ b/wagtailbend/daemon/traffic.h
@@ -13,34 +13,11 @@
 #include "wagtailbend/daemon/peer_transport.h"
 #include "wagtailbend/daemon/policies.h"
 #include "wagtailbend/daemon/routing_snapshot.h"
+#include "wagtailbend/daemon/traffic_metrics.h"
 #include "wagtailbend/filters/filter.h"
 
 namespace wagtailbend::daemon {
 
-inline constexpr size_t kOriginCount = 3;
-
-/// Counters of the request path, read by the metrics page.
-struct TrafficCounters
-{
-  std::array<std::atomic<int64_t>, kOriginCount> inFlight{};
-  std::array<std::atomic<uint64_t>, kOriginCount> requests{};
-  std::atomic<uint64_t> completed{ 0 };
-  std::atomic<uint64_t> attempts{ 0 };
-  std::atomic<uint64_t> retries{ 0 };
-  std::atomic<uint64_t> hedges{ 0 };
-  std::atomic<uint64_t> mismatches{ 0 };
-  std::array<std::atomic<uint64_t>, kErrorKindCount> errors{};
-
-  int64_t InFlight() const
-  {
-    int64_t sum = 0;
-    for (const auto& count : inFlight) {
-      sum += count.load();
-    }
-    return sum;
-  }
-};
-
 /// Tells the control thread what the traffic threads observe. Thread-safe,
 /// must not block.
 class TrafficEvents
@@ -70,7 +47,7 @@
   std::unique_ptr<TargetChooser> chooser;
   TrafficEvents* events = nullptr;
   Duration progressBound{};
-  TrafficCounters counters;
+  TrafficMetrics counters;
 };
 
 } // namespace wagtailbend::daemon
