Test traces and metrics through real processes

Change: trace_test receives the spans of a payout at an HTTP server and reads the metrics page. Seen failing: the trace with traceparent left out of attempts, the metrics without TrafficMetrics::OnEnd.

--- a/testing/deployment.cc
+++ b/testing/deployment.cc
@@ -59,6 +59,10 @@
         { "http", vm.http } } },
     { "schema_file", m_schema },
   };
+  if (!m_traceUrl.empty()) {
+    settings["trace"] = { { "url", m_traceUrl },
+                          { "sample_per_million", 1000000 } };
+  }
   std::string file = m_folder + "/" + vm.name + ".json";
   std::ofstream(file) << settings.dump();
   std::vector<std::string> command = { std::string(WB_BIN_DIR) + "/wagtaild",
--- a/testing/deployment.h
+++ b/testing/deployment.h
@@ -48,6 +48,8 @@
   /// Starts all processes and waits until every daemon knows every target.
   /// Returns false after 20 s.
   bool Start();
+  /// Exports the spans of all requests to aUrl. Call before Start.
+  void TraceTo(const std::string& aUrl) { m_traceUrl = aUrl; }
   Vm& At(size_t aIndex) { return m_vms[aIndex]; }
   /// Posts aJson to the fault switch of the target. Returns false on failure.
   bool SetFault(size_t aIndex, const std::string& aJson);
@@ -68,6 +70,7 @@
 
   std::string m_schema;
   std::string m_folder;
+  std::string m_traceUrl;
   std::vector<Vm> m_vms;
 };
 
--- a/testing/path.cmake
+++ b/testing/path.cmake
@@ -5,7 +5,7 @@
   WB_SOURCE_DIR="${CMAKE_SOURCE_DIR}" WB_BIN_DIR="${CMAKE_BINARY_DIR}/bin")
 wb_test(path_test SRCS path_test.cc DEPS wb_deployment)
 wb_test(path_fault_test SRCS path_fault_test.cc DEPS wb_deployment)
-wb_test(traffic_test SRCS traffic_test.cc DEPS wb_deployment)
+wb_test(traffic_test SRCS traffic_test.cc trace_test.cc DEPS wb_deployment)
 wb_test(wagtaild_test SRCS wagtaild_test.cc DEPS wb_deployment)
 target_compile_definitions(wagtaild_test PRIVATE
   WB_SOURCE_DIR="${CMAKE_SOURCE_DIR}" WB_BIN_DIR="${CMAKE_BINARY_DIR}/bin")
