--- a/wagtailbend/daemon/bridge_attempts.cc
+++ b/wagtailbend/daemon/bridge_attempts.cc
@@ -14,14 +14,6 @@
 using attempts::AttemptGrant;
 using filters::Origin;
 
-namespace {
-
-// The timer runs on the system clock, so it may fire early on the monotonic
-// clock; the policy would then refuse the hedge.
-constexpr Duration kTimerSlack = std::chrono::milliseconds(1);
-
-} // namespace
-
 void
 Bridge::StartFirst()
 {
--- a/wagtailbend/daemon/bridge_end.cc
+++ b/wagtailbend/daemon/bridge_end.cc
@@ -6,6 +6,7 @@
 
 #include "wagtailbend/daemon/bridge.h"
 #include "wagtailbend/daemon/metadata.h"
+#include "wagtailbend/observability/event_log.h"
 
 namespace wagtailbend::daemon {
 namespace {
@@ -144,6 +145,15 @@
                         const grpc::Status* aStatus)
 {
   const ErrorAnswer& answer = AnswerFor(aError.kind);
+  if (m_context.method && m_context.method->kind == schema::Kind::kOrder &&
+      aRun == RunState::kNotRun) {
+    observability::Event("order_rejected")
+      .Add("request", m_context.requestId.ToString())
+      .Add("method", m_context.method->path)
+      .Add("reason", answer.name)
+      .Add("detail", aError.detail)
+      .Info();
+  }
   grpc::Status status = aStatus ? *aStatus : StatusOf(aError);
   m_serverContext.AddTrailingMetadata(kRequestIdKey,
                                       m_context.requestId.ToString());
--- a/wagtailbend/daemon/control.cc
+++ b/wagtailbend/daemon/control.cc
@@ -145,6 +145,9 @@
     });
     return;
   }
+  observability::Event("drain_finished")
+    .Add("in_flight", m_traffic.counters.InFlight())
+    .Info();
   m_exitStatus = drained ? 0 : 1;
   m_control.stop();
 }
