Wait at shutdown for attempts that outlive their request

Cause: the cancelled one of two hedged attempts may end after its request, so a daemon that stops could destroy the gate and the chooser under it. Change: such attempts hold OpenWork, whose destructor waits for them; the hedge test stops the entry daemon and checks its exit status. Not seen failing: the window is a few milliseconds and was not hit.

--- a/testing/traffic_test.cc
+++ b/testing/traffic_test.cc
@@ -1,6 +1,7 @@
 // Admission, thresholds and attempt budgets through real processes.
 
 #include <atomic>
+#include <csignal>
 #include <thread>
 
 #include <fmt/format.h>
@@ -214,6 +215,10 @@
   EXPECT_GT(calls, kCalls);
   // Each hedged lookup is answered by the fast target.
   EXPECT_GE(fast, hedges);
+  // The daemon stops while cancelled attempts may still end.
+  caller.Call(kLookup, "last");
+  deployment.At(2).daemon->Signal(SIGTERM);
+  EXPECT_EQ(deployment.At(2).daemon->Wait(seconds(5)), 0);
 }
 
 } // namespace
--- a/wagtailbend/daemon/bridge_attempts.cc
+++ b/wagtailbend/daemon/bridge_attempts.cc
@@ -86,8 +86,8 @@
   const std::optional<Duration> delay = HedgeDelay();
   std::shared_ptr<Attempt> attempt;
   if (delay) {
-    const DropLeg drop = [&traffic = m_traffic](const HedgeLeg& aLeg,
-                                                ErrorKind aError) {
+    const DropLeg drop = [&traffic = m_traffic, hold = m_traffic.open.Enter()](
+                           const HedgeLeg& aLeg, ErrorKind aError) {
       const TimePoint now = MonotonicNow();
       traffic.chooser->OnEnd(
         *aLeg.destination, { aError, now - aLeg.start, {} }, now);
@@ -186,9 +186,11 @@
   if (!aLeg.destination->own) {
     return m_traffic.transport->Prepare(std::move(request), aObserver);
   }
-  LocalRun run{ m_schema,         m_context.method,      m_context.requestId,
-                aLeg.attemptId,   m_context.deadline,    m_context.priority,
-                m_context.nested, aLeg.grant.childBudget };
+  LocalRun run{
+    m_schema,         m_context.method,       m_context.requestId,
+    aLeg.attemptId,   m_context.deadline,     m_context.priority,
+    m_context.nested, aLeg.grant.childBudget, m_traffic.open.Enter()
+  };
   return PrepareGated(*m_traffic.transport,
                       m_traffic.gate,
                       m_traffic.registry,
--- a/wagtailbend/daemon/gated_attempt.h
+++ b/wagtailbend/daemon/gated_attempt.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include "wagtailbend/attempts/registry.h"
+#include "wagtailbend/daemon/open_work.h"
 #include "wagtailbend/daemon/peer_transport.h"
 #include "wagtailbend/filters/filter.h"
 #include "wagtailbend/schema/schema.h"
@@ -27,6 +28,8 @@
   bool nested = false;
   /// Attempts that the downstream calls of this run may use.
   uint32_t budget = 0;
+  /// Keeps the gate and the registry alive.
+  OpenWork::Hold hold;
 };
 
 /// Returns an attempt that ends with the error kind and `not-run` if the gate
--- a/wagtailbend/daemon/traffic.h
+++ b/wagtailbend/daemon/traffic.h
@@ -10,6 +10,7 @@
 #include "wagtailbend/attempts/ratio_limiter.h"
 #include "wagtailbend/attempts/registry.h"
 #include "wagtailbend/daemon/ingress_gate.h"
+#include "wagtailbend/daemon/open_work.h"
 #include "wagtailbend/daemon/peer_transport.h"
 #include "wagtailbend/daemon/policies.h"
 #include "wagtailbend/daemon/routing_snapshot.h"
@@ -48,6 +49,8 @@
   TrafficEvents* events = nullptr;
   Duration progressBound{};
   TrafficMetrics counters;
+  /// Last, so that it is destroyed first.
+  OpenWork open;
 };
 
 } // namespace wagtailbend::daemon
