--- a/testing/deployment.h
+++ b/testing/deployment.h
@@ -53,6 +53,8 @@
   void UsePlatform() { m_usePlatform = true; }
   /// Posts aJson to the fault switch of the platform. Returns false on failure.
   bool SetPlatformFault(const std::string& aJson);
+  /// Exports the spans of all requests to aUrl. Call before Start.
+  void TraceTo(const std::string& aUrl) { m_traceUrl = aUrl; }
   Vm& At(size_t aIndex) { return m_vms[aIndex]; }
   /// Posts aJson to the fault switch of the target. Returns false on failure.
   bool SetFault(size_t aIndex, const std::string& aJson);
@@ -75,6 +77,7 @@
 
   std::string m_schema;
   std::string m_folder;
+  std::string m_traceUrl;
   std::vector<Vm> m_vms;
   bool m_usePlatform = false;
   std::string m_platformAddress = FreeAddress();
--- a/wagtailbend/daemon/gated_attempt.h
+++ b/wagtailbend/daemon/gated_attempt.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include "wagtailbend/attempts/registry.h"
+#include "wagtailbend/daemon/open_work.h"
 #include "wagtailbend/daemon/order_book.h"
 #include "wagtailbend/daemon/peer_transport.h"
 #include "wagtailbend/filters/filter.h"
@@ -28,6 +29,8 @@
   bool nested = false;
   /// Attempts that the downstream calls of this run may use.
   uint32_t budget = 0;
+  /// Keeps the gate and the registry alive.
+  OpenWork::Hold hold;
   /// Set for an order, which was granted to this daemon: it is started in this
   /// table directly before it is sent, or rejected there.
   OrderBook* orders = nullptr;
