Run membership, summaries, configuration and routing in the daemon

Cause: the daemon found its peers by HTTP fetches from a static list and chose targets at random; the decision modules were not connected. Contacts in summaries carry the daemon id, so that an order can be granted to a daemon of another failure domain. Not yet covered: tests of several failure domains, quarantine.

--- a/programs/wagtaild.cc
+++ b/programs/wagtaild.cc
@@ -50,10 +50,7 @@
   cxxopts::Options usage("wagtaild", "Overload control daemon of one VM");
   usage.add_options()(
     "settings", "settings file", cxxopts::value<std::string>())(
-    "seed-http",
-    "http address of another daemon, until gossip provides peers",
-    cxxopts::value<std::vector<std::string>>())("check-settings",
-                                                "check the settings and exit")(
+    "check-settings", "check the settings and exit")(
     "version", "print the version")("help", "print this help");
   try {
     auto arguments = usage.parse(argc, argv);
@@ -81,9 +78,6 @@
     }
     DaemonOptions options;
     options.settings = TakeValue(std::move(settings));
-    if (arguments.count("seed-http")) {
-      options.seedPages = arguments["seed-http"].as<std::vector<std::string>>();
-    }
     return RunDaemon(options);
   } catch (const cxxopts::exceptions::exception& error) {
     std::cerr << error.what() << '\n';
--- a/testing/deployment.cc
+++ b/testing/deployment.cc
@@ -28,6 +28,8 @@
                            &vm.peer,
                            &vm.egress,
                            &vm.http,
+                           &vm.admin,
+                           &vm.gossip,
                            &vm.target,
                            &vm.targetHttp }) {
       *address = FreeAddress();
@@ -54,21 +56,17 @@
       { { "customer", vm.customer },
         { "peer", vm.peer },
         { "egress", vm.egress },
-        { "admin", FreeAddress() },
-        { "gossip", FreeAddress() },
+        { "admin", vm.admin },
+        { "gossip", vm.gossip },
         { "http", vm.http } } },
     { "schema_file", m_schema },
+    { "seeds", { m_vms.front().gossip } },
   };
   std::string file = m_folder + "/" + vm.name + ".json";
   std::ofstream(file) << settings.dump();
   std::vector<std::string> command = { std::string(WB_BIN_DIR) + "/wagtaild",
                                        "--settings",
                                        file };
-  for (const Vm& other : m_vms) {
-    if (&other != &vm) {
-      command.insert(command.end(), { "--seed-http", other.http });
-    }
-  }
   vm.daemon = std::make_unique<Process>(std::move(command));
 }
 
--- a/testing/deployment.h
+++ b/testing/deployment.h
@@ -32,6 +32,8 @@
   std::string peer;
   std::string egress;
   std::string http;
+  std::string admin;
+  std::string gossip;
   std::string target;
   std::string targetHttp;
   std::unique_ptr<Process> daemon;
--- /dev/null
+++ b/wagtailbend/daemon/admin_service.cc
@@ -0,0 +1,46 @@
+#include "wagtailbend/daemon/admin_service.h"
+
+#include <asio/post.hpp>
+
+namespace wagtailbend::daemon {
+
+grpc::ServerUnaryReactor*
+AdminService::Status(grpc::CallbackServerContext* aCall,
+                     const admin::StatusRequest* /*aRequest*/,
+                     admin::StatusReply* aReply)
+{
+  grpc::ServerUnaryReactor* reactor = aCall->DefaultReactor();
+  asio::post(m_control, [this, aReply, reactor] {
+    m_hooks.status(*aReply);
+    reactor->Finish(grpc::Status::OK);
+  });
+  return reactor;
+}
+
+grpc::ServerUnaryReactor*
+AdminService::PushConfig(grpc::CallbackServerContext* aCall,
+                         const admin::PushConfigRequest* aRequest,
+                         admin::PushConfigReply* aReply)
+{
+  grpc::ServerUnaryReactor* reactor = aCall->DefaultReactor();
+  asio::post(m_control, [this, aRequest, aReply, reactor] {
+    aReply->set_version_in_force(m_hooks.push(*aRequest));
+    reactor->Finish(grpc::Status::OK);
+  });
+  return reactor;
+}
+
+grpc::ServerUnaryReactor*
+AdminService::Drain(grpc::CallbackServerContext* aCall,
+                    const admin::DrainRequest* /*aRequest*/,
+                    admin::DrainReply* aReply)
+{
+  grpc::ServerUnaryReactor* reactor = aCall->DefaultReactor();
+  asio::post(m_control, [this, aReply, reactor] {
+    aReply->set_started(m_hooks.drain());
+    reactor->Finish(grpc::Status::OK);
+  });
+  return reactor;
+}
+
+} // namespace wagtailbend::daemon
--- /dev/null
+++ b/wagtailbend/daemon/balancing_chooser.h
@@ -0,0 +1,60 @@
+// Chooses targets through the balancers of the routing snapshot.
+//
+//   routing::LinkBudget link({}, now);
+//   BalancingChooser chooser(link);
+
+#pragma once
+
+#include <atomic>
+
+#include "wagtailbend/daemon/policies.h"
+#include "wagtailbend/routing/link_budget.h"
+
+namespace wagtailbend::daemon {
+
+/// Bytes on the link between regions that this daemon caused.
+struct LinkBytes
+{
+  std::atomic<uint64_t> sent{ 0 };
+  std::atomic<uint64_t> received{ 0 };
+  /// Time of the last use.
+  std::atomic<TimePoint> usedAt{ TimePoint{} };
+};
+
+/// A peer's request goes to the own target. If that does not run the service,
+/// a lookup or bulk request that no contact has relayed yet goes to another
+/// target of the own failure domain. Orders are never relayed: the grant names
+/// the daemon that runs them.
+class BalancingChooser final : public TargetChooser
+{
+public:
+  /// aLink outlives the chooser.
+  explicit BalancingChooser(routing::LinkBudget& aLink)
+    : m_link(aLink)
+  {
+  }
+
+  const Destination* Choose(const filters::RequestContext& aContext,
+                            const RoutingSnapshot& aSnapshot,
+                            std::span<const DaemonId> aTried,
+                            TimePoint aNow,
+                            Rng& aRng) override;
+  void OnStart(const Destination& aDestination, TimePoint aNow) override;
+  void OnEnd(const Destination& aDestination,
+             const AttemptResult& aResult,
+             TimePoint aNow) override;
+
+  const LinkBytes& Bytes() const { return m_bytes; }
+
+private:
+  const Destination* Pick(const filters::RequestContext& aContext,
+                          const RoutingSnapshot& aSnapshot,
+                          const routing::PickOptions& aOptions,
+                          TimePoint aNow,
+                          Rng& aRng);
+
+  routing::LinkBudget& m_link;
+  LinkBytes m_bytes;
+};
+
+} // namespace wagtailbend::daemon
--- a/wagtailbend/daemon/bridge.cc
+++ b/wagtailbend/daemon/bridge.cc
@@ -98,6 +98,7 @@
   }
   m_context.priority = m_context.method->priority;
   if (m_context.origin == filters::Origin::kPeer) {
+    m_context.relayedByContact = !text(kRelayedKey).empty();
     m_context.priority =
       std::min(ParseNumber(text(kPriorityKey), m_context.priority),
                schema::kMaxPriority);
@@ -145,6 +146,7 @@
 Bridge::RunFilters()
 {
   m_context.payloadHash = HashOf(m_request);
+  m_context.requestBytes = m_request.Length();
   m_traffic.attempts->Open(m_context, m_allotted);
   auto& chain = m_traffic.chains[static_cast<size_t>(m_context.origin)];
   auto error = chain.OnRequest(m_context, m_context.arrival, m_filtersEntered);
@@ -153,7 +155,9 @@
     FinishWithError(std::move(*error), run, nullptr);
     return;
   }
-  if (m_context.origin != filters::Origin::kPeer || !m_traffic.gate) {
+  // The gate admits work of the own target; a contact relays the rest.
+  if (m_context.origin != filters::Origin::kPeer || !m_traffic.gate ||
+      m_snapshot->ownService != m_context.method->service) {
     StartAttempt();
     return;
   }
@@ -243,6 +247,9 @@
   if (!m_destination->own) {
     metadata.emplace_back(kIncarnationKey,
                           ToHex(m_destination->daemon.incarnation));
+    if (m_context.origin == filters::Origin::kPeer) {
+      metadata.emplace_back(kRelayedKey, "1");
+    }
   }
   if (!m_context.ticket.empty()) {
     metadata.emplace_back(kTicketKey, m_context.ticket);
--- a/wagtailbend/daemon/bridge_end.cc
+++ b/wagtailbend/daemon/bridge_end.cc
@@ -79,7 +79,10 @@
   m_traffic.chooser->OnEnd(*m_destination,
                            { error ? std::optional(error->kind) : std::nullopt,
                              now - m_attemptStart,
-                             aEnd.threshold },
+                             aEnd.threshold,
+                             m_context.requestBytes,
+                             m_responseBytes,
+                             m_context.method->serverStreaming },
                            now);
   {
     std::lock_guard lock(m_attemptMutex);
--- a/wagtailbend/daemon/control.cc
+++ b/wagtailbend/daemon/control.cc
@@ -14,8 +14,8 @@
 
 constexpr Duration kTickInterval = std::chrono::milliseconds(50);
 constexpr Duration kDrainCheckInterval = std::chrono::milliseconds(20);
-// A seed on a silent connection must not hold a pool thread for longer.
-constexpr int kSeedTimeoutMs = 300;
+// Time in which the news that this daemon left spreads.
+constexpr Duration kLeaveTime = std::chrono::seconds(1);
 
 } // namespace
 
@@ -30,7 +30,9 @@
     }
   });
   Tick();
-  FetchSeeds();
+  EvaluateRouting();
+  m_config->Start();
+  m_summaries->Start();
   m_control.run();
   return m_exitStatus;
 }
@@ -41,25 +43,25 @@
   auto snapshot = std::make_shared<RoutingSnapshot>();
   snapshot->schema = m_schema;
   snapshot->draining = m_draining;
-  if (m_target.Target() && !m_target.Draining()) {
-    snapshot->ownService = m_target.Target()->service;
-    snapshot->ownTarget =
-      Destination{ m_id, m_channels.Link(m_target.Target()->address), true };
-  }
-  for (const PeerState& peer : m_seeds.Peers()) {
-    if (peer.service.empty() || peer.daemon.name == m_id.name) {
-      continue;
-    }
-    snapshot->peers[peer.service].push_back(
-      Destination{ peer.daemon, m_channels.Link(peer.peerAddress), false });
-  }
+  const std::vector<membership::DomainSummary> summaries = m_summaries->All();
+  m_routing->Fill({ .target = m_target,
+                    .self = m_membership->Self(),
+                    .members = m_membership->Members(),
+                    .summaries = summaries,
+                    .schema = m_schema.get() },
+                  *snapshot,
+                  MonotonicNow());
   m_traffic.snapshots.Store(std::move(snapshot));
 }
 
 void
 Daemon::Tick()
 {
-  if (m_target.Expire(MonotonicNow())) {
+  TimePoint now = MonotonicNow();
+  if (m_target.Expire(now)) {
+    OnTargetChanged("lost");
+  }
+  if (m_routing->Expire(now)) {
     Publish();
   }
   m_tickTimer.expires_after(kTickInterval);
@@ -70,43 +72,18 @@
   });
 }
 
-void
-Daemon::FetchSeeds()
-{
-  // A round starts after the previous one, so that slow seeds cannot pile up.
-  for (const std::string& seed : m_fetchesPending == 0
-                                   ? m_options.seedPages
-                                   : std::vector<std::string>{}) {
-    ++m_fetchesPending;
-    asio::post(m_blockingPool, [this, seed] {
-      auto state = FetchSelf(seed, kSeedTimeoutMs);
-      asio::post(m_control, [this, seed, state = std::move(state)]() mutable {
-        --m_fetchesPending;
-        if (m_seeds.Update(seed, std::move(state))) {
-          Publish();
-        }
-      });
-    });
-  }
-  m_seedTimer.expires_after(m_options.seedInterval);
-  m_seedTimer.async_wait([this](const std::error_code& aCode) {
-    if (!aCode) {
-      FetchSeeds();
-    }
-  });
-}
-
 void
 Daemon::OnUnreachable(const Destination& aDestination)
 {
-  asio::post(m_control,
-             [this, own = aDestination.own, link = aDestination.link] {
-               bool changed = own ? m_target.Refused(link->Address())
-                                  : m_seeds.Refused(link->Address());
-               if (changed) {
-                 Publish();
-               }
-             });
+  asio::post(
+    m_control, [this, own = aDestination.own, link = aDestination.link] {
+      if (own && m_target.Refused(link->Address())) {
+        OnTargetChanged("lost");
+      }
+      if (!own && m_routing->Refused(link->Address(), MonotonicNow())) {
+        Publish();
+      }
+    });
 }
 
 void
@@ -118,7 +95,7 @@
   m_draining = true;
   m_drainDeadline = MonotonicNow() + std::chrono::milliseconds(
                                        m_options.settings.drainTimeoutMs);
-  Publish();
+  OnTargetChanged("leaving");
   CheckDrained();
 }
 
@@ -136,33 +113,44 @@
     return;
   }
   m_exitStatus = drained ? 0 : 1;
-  m_control.stop();
+  LeaveMembership();
 }
 
-PeerState
-Daemon::Self() const
+void
+Daemon::LeaveMembership()
 {
-  bool takesWork = m_target.Target() && !m_target.Draining() && !m_draining;
-  return { m_id,
-           m_options.settings.failureDomain,
-           m_options.settings.peerAddress,
-           takesWork ? m_target.Target()->service : "" };
+  m_membership->Leave(std::nullopt);
+  m_drainTimer.expires_after(kLeaveTime);
+  m_drainTimer.async_wait([this](const std::error_code&) { m_control.stop(); });
+}
+
+bool
+Daemon::TakesWork() const
+{
+  return m_target.Target() && !m_target.Draining() && !m_draining;
 }
 
 std::string
 Daemon::StatusDocument() const
 {
   nlohmann::json peers = nlohmann::json::array();
-  for (const PeerState& peer : m_seeds.Peers()) {
-    peers.push_back({ { "daemon", peer.daemon.ToString() },
-                      { "peer", peer.peerAddress },
-                      { "service", peer.service } });
+  for (const membership::Member& member : m_membership->Members()) {
+    if (member.id == m_id || !IsLive(member)) {
+      continue;
+    }
+    bool takesWork = member.state != membership::MemberState::kDraining;
+    peers.push_back(
+      { { "daemon", member.id.ToString() },
+        { "peer", member.peerAddress },
+        { "state", membership::MemberStateName(member.state) },
+        { "service", takesWork ? member.service.value_or("") : "" } });
   }
   nlohmann::json json = {
     { "daemon", m_id.ToString() },
     { "failure_domain", m_options.settings.failureDomain },
     { "draining", m_draining },
-    { "service", Self().service },
+    { "service", TakesWork() ? m_target.Target()->service : "" },
+    { "config_version", m_config->Version() },
     { "load", m_target.Load() },
     { "in_flight", m_traffic.counters.InFlight() },
     { "peers", std::move(peers) },
--- a/wagtailbend/daemon/daemon.cc
+++ b/wagtailbend/daemon/daemon.cc
@@ -1,8 +1,10 @@
 #include "wagtailbend/daemon/daemon.h"
 
 #include <future>
+#include <thread>
 #include <utility>
 
+#include <asio/executor_work_guard.hpp>
 #include <asio/post.hpp>
 #include <fmt/format.h>
 #include <grpcpp/security/server_credentials.h>
@@ -54,26 +56,40 @@
 
 Daemon::~Daemon()
 {
-  // The pages and the servers post to the control thread's context.
+  // Calls of the pages and the servers end on the control thread, so that it
+  // runs until they have stopped.
+  m_control.restart();
+  auto guard = asio::make_work_guard(m_control);
+  std::thread control([this] { m_control.run(); });
   m_pages.reset();
   for (auto& server : m_servers) {
     server->Shutdown(std::chrono::system_clock::now());
   }
   m_servers.clear();
   m_blockingPool.join();
+  m_queue->Close();
+  m_control.stop();
+  control.join();
 }
 
 Result<std::unique_ptr<Daemon>>
 Daemon::Start(DaemonOptions aOptions)
 {
-  auto compiled = schema::CompileSchemaFile(aOptions.settings.schemaFile, {});
-  if (const Error* error = GetError(compiled)) {
-    return *error;
+  std::shared_ptr<const schema::Schema> schema;
+  if (!aOptions.settings.schemaFile.empty()) {
+    auto compiled = schema::CompileSchemaFile(aOptions.settings.schemaFile, {});
+    if (const Error* error = GetError(compiled)) {
+      return *error;
+    }
+    schema = std::make_shared<const schema::Schema>(
+      TakeValue(std::move(compiled)).schema);
   }
   std::unique_ptr<Daemon> daemon(new Daemon(std::move(aOptions)));
-  daemon->m_schema = std::make_shared<const schema::Schema>(
-    TakeValue(std::move(compiled)).schema);
+  daemon->m_schema = std::move(schema);
   daemon->WireTraffic();
+  if (auto error = daemon->WireControl()) {
+    return *error;
+  }
   daemon->Publish();
   if (auto error = daemon->Listen()) {
     return *error;
@@ -85,7 +101,9 @@
 Daemon::WireTraffic()
 {
   m_traffic.transport = std::make_unique<GrpcTransport>();
-  m_traffic.chooser = std::make_unique<PreferOwnChooser>();
+  auto chooser = std::make_unique<BalancingChooser>(m_link);
+  m_linkBytes = &chooser->Bytes();
+  m_traffic.chooser = std::move(chooser);
   m_traffic.attempts = std::make_unique<FixedCostPolicy>();
   m_traffic.events = this;
   m_traffic.progressBound = m_options.progressBound;
@@ -105,6 +123,9 @@
   int port = 0;
   builder.AddListeningPort(aAddress, grpc::InsecureServerCredentials(), &port);
   builder.RegisterCallbackGenericService(service.get());
+  if (aOrigin == filters::Origin::kPeer) {
+    builder.RegisterService(m_peerService.get());
+  }
   builder.SetMaxReceiveMessageSize(kMaxMessageBytes);
   // Another process on the same address must be noticed, not shared with.
   builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
@@ -131,6 +152,18 @@
     }
     m_servers.push_back(std::move(server));
   }
+  grpc::ServerBuilder admin;
+  int port = 0;
+  admin.AddListeningPort(
+    m_options.settings.adminAddress, grpc::InsecureServerCredentials(), &port);
+  admin.RegisterService(m_adminService.get());
+  admin.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
+  m_servers.push_back(admin.BuildAndStart());
+  if (port == 0) {
+    m_servers.pop_back();
+    return Error{ ErrorKind::kInternal,
+                  "cannot listen on " + m_options.settings.adminAddress };
+  }
   m_pages = std::make_unique<HttpPages>(MakeHandlers());
   return m_pages->Start(m_options.settings.httpAddress);
 }
@@ -151,7 +184,9 @@
   HttpHandlers handlers;
   handlers.announce =
     [this](Announcement aAnnouncement) -> std::optional<Error> {
-    if (!m_schema->FindService(aAnnouncement.service)) {
+    auto schema = m_traffic.snapshots.Load()->schema;
+    // Without a configuration the service cannot be checked.
+    if (schema && !schema->FindService(aAnnouncement.service)) {
       return Error{ ErrorKind::kUnknownMethod, aAnnouncement.service };
     }
     std::string host;
@@ -161,13 +196,21 @@
     }
     OnControl([&] {
       if (m_target.Announce(std::move(aAnnouncement), MonotonicNow())) {
-        Publish();
+        OnTargetChanged("announced");
       }
     });
     return std::nullopt;
   };
   handlers.heartbeat = [this](double aLoad) -> std::optional<Error> {
-    if (OnControl([&] { return m_target.Heartbeat(aLoad, MonotonicNow()); })) {
+    bool known = OnControl([&] {
+      TimePoint now = MonotonicNow();
+      if (!m_target.Heartbeat(aLoad, now)) {
+        return false;
+      }
+      m_routing->Hint(m_target.Target()->service, m_id, aLoad, now);
+      return true;
+    });
+    if (known) {
       return std::nullopt;
     }
     return Error{ ErrorKind::kNotFound, "announce first" };
@@ -175,7 +218,7 @@
   handlers.drain = [this] {
     OnControl([&] {
       if (m_target.Drain()) {
-        Publish();
+        OnTargetChanged("draining");
       }
     });
   };
@@ -183,9 +226,6 @@
   handlers.status = [this] {
     return OnControl([&] { return StatusDocument(); });
   };
-  handlers.self = [this] {
-    return OnControl([&] { return SelfDocument(Self()); });
-  };
   return handlers;
 }
 
--- a/wagtailbend/daemon/daemon.h
+++ b/wagtailbend/daemon/daemon.h
@@ -17,9 +17,17 @@
 #include <grpcpp/server.h>
 
 #include "wagtailbend/base/result.h"
+#include "wagtailbend/daemon/admin_service.h"
+#include "wagtailbend/daemon/balancing_chooser.h"
+#include "wagtailbend/daemon/config_runner.h"
+#include "wagtailbend/daemon/control_peer_service.h"
+#include "wagtailbend/daemon/control_queue.h"
 #include "wagtailbend/daemon/http_pages.h"
+#include "wagtailbend/daemon/link_probe.h"
+#include "wagtailbend/daemon/membership_controller.h"
 #include "wagtailbend/daemon/options.h"
-#include "wagtailbend/daemon/seed_directory.h"
+#include "wagtailbend/daemon/routing_controller.h"
+#include "wagtailbend/daemon/summary_controller.h"
 #include "wagtailbend/daemon/target_registry.h"
 #include "wagtailbend/daemon/traffic.h"
 
@@ -28,7 +36,8 @@
 class Daemon final : private TrafficEvents
 {
 public:
-  /// Compiles the schema and starts listening on all addresses. Errors:
+  /// Compiles the schema, if the settings name one, and starts listening on all
+  /// addresses. Errors:
   /// kInvalidRequest for a bad schema, kInternal for an address in use.
   static Result<std::unique_ptr<Daemon>> Start(DaemonOptions aOptions);
   ~Daemon() override;
@@ -51,6 +60,18 @@
   std::unique_ptr<grpc::Server> ListenOn(const std::string& aAddress,
                                          filters::Origin aOrigin);
   void WireTraffic();
+  // In control_wiring.cc.
+  std::optional<Error> WireControl();
+  void WireMembership();
+  void WireConfig();
+  void WireSummaries();
+  void WireAdmin();
+  void OnMembersChanged();
+  void OnTargetChanged(std::string_view aState);
+  void OnConfigInForce(
+    const std::shared_ptr<const config::ConfigInForce>& aConfig);
+  void EvaluateRouting();
+  void FillStatus(admin::StatusReply& aReply) const;
   HttpHandlers MakeHandlers();
 
   /// Runs aWork on the control thread and waits for its result.
@@ -62,10 +83,10 @@
   // The control thread's part.
   void Publish();
   void Tick();
-  void FetchSeeds();
   void BeginDrain();
   void CheckDrained();
-  PeerState Self() const;
+  void LeaveMembership();
+  bool TakesWork() const;
   std::string StatusDocument() const;
   std::string MetricsText() const;
 
@@ -73,23 +94,34 @@
   DaemonId m_id;
   std::shared_ptr<const schema::Schema> m_schema;
   ChannelPool m_channels{ KeepAlive{} };
+  routing::LinkBudget m_link{ {}, MonotonicNow() };
   Traffic m_traffic;
 
   asio::io_context m_control;
   asio::signal_set m_signals{ m_control };
   asio::steady_timer m_tickTimer{ m_control };
-  asio::steady_timer m_seedTimer{ m_control };
+  asio::steady_timer m_evaluateTimer{ m_control };
   asio::steady_timer m_drainTimer{ m_control };
-  asio::thread_pool m_blockingPool{ 2 };
+  // A poll, the fetch of a body, and the row of this daemon may all wait for a
+  // slow platform at the same time.
+  asio::thread_pool m_blockingPool{ 4 };
+  std::shared_ptr<ControlQueue> m_queue =
+    std::make_shared<ControlQueue>(m_control);
+  std::shared_ptr<platform::Platform> m_platform;
   TargetRegistry m_target;
-  SeedDirectory m_seeds;
-  // Fetches that have not returned yet.
-  size_t m_fetchesPending = 0;
+  std::unique_ptr<RoutingController> m_routing;
+  std::unique_ptr<MembershipController> m_membership;
+  std::unique_ptr<ConfigRunner> m_config;
+  std::unique_ptr<SummaryController> m_summaries;
+  std::unique_ptr<LinkProbe> m_probe;
+  const LinkBytes* m_linkBytes = nullptr;
   bool m_draining = false;
   TimePoint m_drainDeadline;
   int m_exitStatus = 0;
 
   std::vector<std::unique_ptr<Service>> m_services;
+  std::unique_ptr<ControlPeerService> m_peerService;
+  std::unique_ptr<AdminService> m_adminService;
   std::vector<std::unique_ptr<grpc::Server>> m_servers;
   std::unique_ptr<HttpPages> m_pages;
 };
--- a/wagtailbend/daemon/http_pages.cc
+++ b/wagtailbend/daemon/http_pages.cc
@@ -132,9 +132,6 @@
   server.Get("/status", [this](const Request&, Response& aResponse) {
     aResponse.set_content(m_handlers.status(), kJson);
   });
-  server.Get("/v1/internal/self", [this](const Request&, Response& aResponse) {
-    aResponse.set_content(m_handlers.self(), kJson);
-  });
 }
 
 std::optional<Error>
--- a/wagtailbend/daemon/http_pages.h
+++ b/wagtailbend/daemon/http_pages.h
@@ -24,7 +24,6 @@
   std::function<void()> drain;
   std::function<std::string()> metrics;
   std::function<std::string()> status;
-  std::function<std::string()> self;
 };
 
 class HttpPages
--- a/wagtailbend/daemon/metadata.h
+++ b/wagtailbend/daemon/metadata.h
@@ -21,6 +21,7 @@
 inline constexpr char kTicketKey[] = "wb-ticket";
 inline constexpr char kOrderKeyKey[] = "wb-order-key";
 inline constexpr char kIncarnationKey[] = "wb-incarnation";
+inline constexpr char kRelayedKey[] = "wb-relayed";
 inline constexpr char kTraceParentKey[] = "traceparent";
 inline constexpr char kThresholdKey[] = "wb-threshold";
 inline constexpr char kErrorKey[] = "wb-error";
--- a/wagtailbend/daemon/options.h
+++ b/wagtailbend/daemon/options.h
@@ -13,15 +13,11 @@
 struct DaemonOptions
 {
   settings::Settings settings;
-  /// `http` addresses of the other daemons, until gossip is wired.
-  std::vector<std::string> seedPages;
   /// Longest time a stream may go without a frame. Keep-alive pings find a
   /// silent connection within the same time.
   Duration progressBound = std::chrono::seconds(2);
   /// Time subtracted from the deadline at each hop for the way back.
   Duration returnTime = std::chrono::milliseconds(1);
-  /// Interval at which the state of each seed is fetched.
-  Duration seedInterval = std::chrono::milliseconds(200);
 };
 
 } // namespace wagtailbend::daemon
--- a/wagtailbend/daemon/policies.h
+++ b/wagtailbend/daemon/policies.h
@@ -23,6 +23,10 @@
   Duration latency{};
   /// Value of `wb-threshold` on the reply, empty if missing.
   std::string_view threshold;
+  uint64_t requestBytes = 0;
+  uint64_t responseBytes = 0;
+  /// The latency depends on the length of the response.
+  bool streamed = false;
 };
 
 /// Selects the target of each attempt. Thread-safe.
--- a/wagtailbend/daemon/routing_snapshot.h
+++ b/wagtailbend/daemon/routing_snapshot.h
@@ -14,6 +14,7 @@
 
 #include "wagtailbend/base/ids.h"
 #include "wagtailbend/daemon/channel_pool.h"
+#include "wagtailbend/routing/balancer.h"
 #include "wagtailbend/schema/schema.h"
 
 namespace wagtailbend::daemon {
@@ -27,6 +28,9 @@
   /// peer address of its daemon.
   std::shared_ptr<PeerLink> link;
   bool own = false;
+  /// Statistics of the target; null without a balancer.
+  std::shared_ptr<routing::Balancer> balancer{};
+  std::shared_ptr<const routing::Target> target{};
 };
 
 /// Immutable after publication.
@@ -38,6 +42,9 @@
   std::string ownService;
   /// Targets in other VMs by service.
   std::map<std::string, std::vector<Destination>, std::less<>> peers;
+  /// Choose among the own target and the peers, by service.
+  std::map<std::string, std::shared_ptr<routing::Balancer>, std::less<>>
+    balancers;
   /// New work is rejected.
   bool draining = false;
 };
--- a/wagtailbend/filters/request_context.h
+++ b/wagtailbend/filters/request_context.h
@@ -46,6 +46,10 @@
   uint32_t attemptsStarted = 0;
   /// xxHash64 of the request payload.
   uint64_t payloadHash = 0;
+  uint64_t requestBytes = 0;
+  /// A daemon that is a contact of its failure domain has relayed this request;
+  /// it ends at the own target.
+  bool relayedByContact = false;
   std::string ticket;
   std::string orderKey;
   /// Value of the W3C `traceparent` header, passed on to the callee.
--- a/wagtailbend/membership/summary.cc
+++ b/wagtailbend/membership/summary.cc
@@ -27,6 +27,21 @@
   return picked;
 }
 
+std::vector<Contact>
+PickContacts(const std::string& aKey, const std::vector<Contact>& aContacts)
+{
+  std::vector<std::string> names;
+  names.reserve(aContacts.size());
+  for (const Contact& contact : aContacts) {
+    names.push_back(contact.peerAddress);
+  }
+  std::vector<Contact> picked;
+  for (const size_t index : Pick(aKey, names, kContactsPerService)) {
+    picked.push_back(aContacts[index]);
+  }
+  return picked;
+}
+
 } // namespace
 
 DomainSummary
@@ -49,15 +64,14 @@
     ServiceSummary& service = summary.services[*member.service];
     ++service.liveTargets;
     service.slots += member.slots;
-    service.contacts.push_back(member.peerAddress);
+    service.contacts.push_back({ member.id, member.peerAddress });
   }
   for (auto& [name, service] : summary.services) {
     const auto load = aLoads.find(name);
     service.load = load == aLoads.end() ? 0 : load->second;
-    service.contacts =
-      PickNames(fmt::format("{}/{}", name, aFreshness / kSummariesPerRotation),
-                service.contacts,
-                kContactsPerService);
+    service.contacts = PickContacts(
+      fmt::format("{}/{}", name, aFreshness / kSummariesPerRotation),
+      service.contacts);
   }
   return summary;
 }
@@ -82,8 +96,9 @@
 {
   std::vector<std::string> contacts;
   for (const auto& [name, service] : aSummary.services) {
-    contacts.insert(
-      contacts.end(), service.contacts.begin(), service.contacts.end());
+    for (const Contact& contact : service.contacts) {
+      contacts.push_back(contact.peerAddress);
+    }
   }
   std::sort(contacts.begin(), contacts.end());
   contacts.erase(std::unique(contacts.begin(), contacts.end()), contacts.end());
@@ -107,8 +122,11 @@
     entry->set_live_targets(service.liveTargets);
     entry->set_slots(service.slots);
     entry->set_load(service.load);
-    entry->mutable_contacts()->Add(service.contacts.begin(),
-                                   service.contacts.end());
+    for (const Contact& contact : service.contacts) {
+      gossip::Contact* added = entry->add_contacts();
+      *added->mutable_id() = ToProto(contact.id);
+      added->set_peer_address(contact.peerAddress);
+    }
   }
   for (const QuarantineEntry& entry : aSummary.quarantine) {
     *wire.add_quarantine() = ToProto(entry, aNow);
@@ -128,9 +146,11 @@
   for (const gossip::ServiceSummary& entry : aSummary.services()) {
     ServiceSummary& service = summary.services[entry.service()];
     service = { entry.live_targets(), entry.slots(), entry.load(), {} };
-    service.contacts.assign(entry.contacts().begin(), entry.contacts().end());
-    if (service.contacts.size() > kContactsPerService) {
-      service.contacts.resize(kContactsPerService);
+    for (const gossip::Contact& contact : entry.contacts()) {
+      if (service.contacts.size() < kContactsPerService) {
+        service.contacts.push_back(
+          { FromProto(contact.id()), contact.peer_address() });
+      }
     }
   }
   for (const gossip::QuarantineEntry& wire : aSummary.quarantine()) {
--- a/wagtailbend/membership/summary.h
+++ b/wagtailbend/membership/summary.h
@@ -30,14 +30,22 @@
 /// A summary that was not replaced for this long is dropped.
 inline constexpr Duration kSummaryLifetime = std::chrono::seconds(10);
 
+/// A daemon with a target of a service.
+struct Contact
+{
+  DaemonId id;
+  std::string peerAddress;
+
+  bool operator==(const Contact&) const = default;
+};
+
 struct ServiceSummary
 {
   uint32_t liveTargets = 0;
   uint32_t slots = 0;
   /// Mean load of the targets, 0 to 1.
   double load = 0;
-  /// Peer addresses of daemons with a target of the service.
-  std::vector<std::string> contacts;
+  std::vector<Contact> contacts;
 
   bool operator==(const ServiceSummary&) const = default;
 };
--- a/wagtailbend/membership/swim.cc
+++ b/wagtailbend/membership/swim.cc
@@ -319,6 +319,16 @@
   }
 }
 
+void
+Swim::StopDraining()
+{
+  if (m_self.state == MemberState::kDraining) {
+    m_self.state = MemberState::kAlive;
+    ++m_self.number;
+    AnnounceSelf();
+  }
+}
+
 void
 Swim::Leave(std::optional<DaemonId> aSuccessor)
 {
--- a/wagtailbend/membership/swim.h
+++ b/wagtailbend/membership/swim.h
@@ -88,6 +88,9 @@
                  bool aCold);
   /// Announces that this daemon takes no new work.
   void StartDraining();
+  /// Announces that this daemon takes work again, after a target that left was
+  /// replaced.
+  void StopDraining();
   /// Announces the end of this daemon; aSuccessor took over its order tickets.
   /// Keep calling Tick for about a second so that the news spreads.
   void Leave(std::optional<DaemonId> aSuccessor);
--- a/wagtailbend/routing/balancer.cc
+++ b/wagtailbend/routing/balancer.cc
@@ -63,14 +63,15 @@
 Balancer::Pick(TimePoint aNow, Rng& aRng, const PickOptions& aOptions) const
 {
   const std::shared_ptr<const Snapshot> snapshot = m_snapshot.load();
-  if (snapshot->ejected > 0 && aOptions.allowTrial) {
+  if (snapshot->ejected > 0 && aOptions.allowTrial && !aOptions.ownDomainOnly) {
     if (auto trial = PickTrial(*snapshot, aNow, aRng, aOptions)) {
       return trial;
     }
   }
   TargetPtr best;
   constexpr auto kOther = static_cast<size_t>(Locality::kOtherRegion);
-  for (size_t tier = 0; tier < kOther; ++tier) {
+  const size_t tiers = aOptions.ownDomainOnly ? 1 : kOther;
+  for (size_t tier = 0; tier < tiers; ++tier) {
     TargetPtr target = PickActive(*snapshot, tier, aNow, aRng, aOptions);
     if (target && (!best || target->stats->HintLoad(aNow) <
                               best->stats->HintLoad(aNow))) {
@@ -81,10 +82,10 @@
     }
   }
   // An ejected target nearby serves before the link is used.
-  for (size_t tier = 0; tier < kOther && !best; ++tier) {
+  for (size_t tier = 0; tier < tiers && !best; ++tier) {
     best = Draw(snapshot->tiers[tier].ejected, nullptr, aNow, aRng, aOptions);
   }
-  if (!best && MayCross(aOptions)) {
+  if (!best && !aOptions.ownDomainOnly && MayCross(aOptions)) {
     best = PickActive(*snapshot, kOther, aNow, aRng, aOptions);
     if (best && !aOptions.link->TryTake(
                   ClassOf(aOptions.kind), aOptions.linkBytes, aNow)) {
@@ -208,6 +209,18 @@
   return std::clamp(share, kMinRamp, 1.0);
 }
 
+std::shared_ptr<const Target>
+Balancer::Find(const DaemonId& aId) const
+{
+  const std::shared_ptr<const Snapshot> snapshot = m_snapshot.load();
+  const auto found = std::find_if(
+    snapshot->all.begin(), snapshot->all.end(), [&](const TargetPtr& aTarget) {
+      return aTarget->candidate.id.incarnation == aId.incarnation &&
+             aTarget->candidate.id == aId;
+    });
+  return found == snapshot->all.end() ? nullptr : *found;
+}
+
 void
 Balancer::Started(const Picked& aPicked) const
 {
@@ -220,6 +233,12 @@
   aPicked.target->stats->End();
 }
 
+std::vector<std::shared_ptr<const Target>>
+Balancer::Targets() const
+{
+  return m_snapshot.load()->all;
+}
+
 size_t
 Balancer::EjectedCount() const
 {
--- a/wagtailbend/routing/balancer.h
+++ b/wagtailbend/routing/balancer.h
@@ -54,6 +54,8 @@
   std::span<const DaemonId> exclude{};
   schema::Kind kind = schema::Kind::kLookup;
   uint32_t priority = 0;
+  /// Only targets of the own failure domain.
+  bool ownDomainOnly = false;
   /// Prefer the own target when its load allows.
   bool preferSelf = true;
   /// Orders should not be used as trial requests.
@@ -93,6 +95,9 @@
                              Rng& aRng,
                              const PickOptions& aOptions) const;
 
+  /// Returns the present state of a target, or nullptr.
+  std::shared_ptr<const Target> Find(const DaemonId& aId) const;
+
   /// Call when the attempt is sent, and once when it ended. aOk is false if the
   /// target failed; rejections for overload are no failures of the target.
   void Started(const Picked& aPicked) const;
@@ -108,6 +113,8 @@
   /// Stores the load (0 to 1 and above) that a target reported.
   void Hint(const DaemonId& aId, double aLoad, TimePoint aNow) const;
 
+  /// All candidates, for status output.
+  std::vector<std::shared_ptr<const Target>> Targets() const;
   size_t EjectedCount() const;
   size_t CandidateCount() const;
   /// Bytes held per candidate, without the texts in Candidate.
--- a/wagtailbend/routing/link_budget.cc
+++ b/wagtailbend/routing/link_budget.cc
@@ -43,6 +43,17 @@
   }
 }
 
+void
+LinkBudget::Charge(uint64_t aBytes, TimePoint aNow)
+{
+  const Duration cost(
+    static_cast<int64_t>(static_cast<double>(aBytes) / Rate() * 1e9));
+  TimePoint fullAt = m_fullAt.load(std::memory_order_relaxed);
+  while (!m_fullAt.compare_exchange_weak(
+    fullAt, std::max(fullAt, aNow) + cost, std::memory_order_relaxed)) {
+  }
+}
+
 void
 LinkBudget::OnRoundTrip(Duration aRoundTrip, TimePoint aNow)
 {
--- a/wagtailbend/routing/link_budget.h
+++ b/wagtailbend/routing/link_budget.h
@@ -51,6 +51,10 @@
   /// time t are at most (t + burst) times the highest rate in it.
   bool TryTake(LinkClass aClass, uint64_t aBytes, TimePoint aNow);
 
+  /// Takes aBytes that have crossed the link already, for instance those of a
+  /// response; TryTake then waits until they are paid for.
+  void Charge(uint64_t aBytes, TimePoint aNow);
+
   /// Reports a measured round trip over the link. The queueing delay is its
   /// excess over the smallest one of the last minute.
   void OnRoundTrip(Duration aRoundTrip, TimePoint aNow);
