--- a/wagtailbend/daemon/control.cc
+++ b/wagtailbend/daemon/control.cc
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 
 #include "wagtailbend/daemon/daemon.h"
+#include "wagtailbend/observability/event_log.h"
 
 namespace wagtailbend::daemon {
 namespace {
@@ -93,6 +94,9 @@
     return;
   }
   m_draining = true;
+  observability::Event("drain_started")
+    .Add("in_flight", m_traffic.counters.InFlight())
+    .Info();
   m_drainDeadline = MonotonicNow() + std::chrono::milliseconds(
                                        m_options.settings.drainTimeoutMs);
   OnTargetChanged("leaving");
--- a/wagtailbend/daemon/daemon.cc
+++ b/wagtailbend/daemon/daemon.cc
@@ -13,6 +13,8 @@
 #include "wagtailbend/daemon/bridge.h"
 #include "wagtailbend/daemon/grpc_transport.h"
 #include "wagtailbend/filters/deadline_filter.h"
+#include "wagtailbend/filters/trace_filter.h"
+#include "wagtailbend/observability/event_log.h"
 
 namespace wagtailbend::daemon {
 namespace {
@@ -107,9 +109,16 @@
   m_traffic.attempts = std::make_unique<FixedCostPolicy>();
   m_traffic.events = this;
   m_traffic.progressBound = m_options.progressBound;
-  // Section 4.1 gives the order of the filters of each address. The trace,
+  const settings::Settings& settings = m_options.settings;
+  if (!settings.traceUrl.empty()) {
+    m_exporter = std::make_unique<observability::OtlpExporter>(
+      settings.traceUrl, settings.name);
+  }
+  // Section 4.1 gives the order of the filters of each address. The
   // quarantine, budget, threshold and order filters are added here.
   for (filters::FilterChain& chain : m_traffic.chains) {
+    chain.Add(std::make_unique<filters::TraceFilter>(
+      m_exporter.get(), settings.traceSamplePerMillion));
     chain.Add(std::make_unique<filters::DeadlineFilter>(m_options.returnTime));
   }
 }
@@ -178,28 +187,33 @@
   return result.get();
 }
 
+std::optional<Error>
+Daemon::OnAnnounce(Announcement aAnnouncement)
+{
+  auto schema = m_traffic.snapshots.Load()->schema;
+  // Without a configuration the service cannot be checked.
+  if (schema && !schema->FindService(aAnnouncement.service)) {
+    return Error{ ErrorKind::kUnknownMethod, aAnnouncement.service };
+  }
+  std::string host;
+  uint16_t port = 0;
+  if (!settings::ParseAddress(aAnnouncement.address, host, port)) {
+    return Error{ ErrorKind::kInvalidRequest, aAnnouncement.address };
+  }
+  OnControl([&] {
+    if (m_target.Announce(std::move(aAnnouncement), MonotonicNow())) {
+      OnTargetChanged("announced");
+    }
+  });
+  return std::nullopt;
+}
+
 HttpHandlers
 Daemon::MakeHandlers()
 {
   HttpHandlers handlers;
-  handlers.announce =
-    [this](Announcement aAnnouncement) -> std::optional<Error> {
-    auto schema = m_traffic.snapshots.Load()->schema;
-    // Without a configuration the service cannot be checked.
-    if (schema && !schema->FindService(aAnnouncement.service)) {
-      return Error{ ErrorKind::kUnknownMethod, aAnnouncement.service };
-    }
-    std::string host;
-    uint16_t port = 0;
-    if (!settings::ParseAddress(aAnnouncement.address, host, port)) {
-      return Error{ ErrorKind::kInvalidRequest, aAnnouncement.address };
-    }
-    OnControl([&] {
-      if (m_target.Announce(std::move(aAnnouncement), MonotonicNow())) {
-        OnTargetChanged("announced");
-      }
-    });
-    return std::nullopt;
+  handlers.announce = [this](Announcement aAnnouncement) {
+    return OnAnnounce(std::move(aAnnouncement));
   };
   handlers.heartbeat = [this](double aLoad) -> std::optional<Error> {
     bool known = OnControl([&] {
--- a/wagtailbend/daemon/daemon.h
+++ b/wagtailbend/daemon/daemon.h
@@ -30,6 +30,7 @@
 #include "wagtailbend/daemon/summary_controller.h"
 #include "wagtailbend/daemon/target_registry.h"
 #include "wagtailbend/daemon/traffic.h"
+#include "wagtailbend/observability/otlp_exporter.h"
 
 namespace wagtailbend::daemon {
 
@@ -73,6 +74,7 @@
   void EvaluateRouting();
   void FillStatus(admin::StatusReply& aReply) const;
   HttpHandlers MakeHandlers();
+  std::optional<Error> OnAnnounce(Announcement aAnnouncement);
 
   /// Runs aWork on the control thread and waits for its result.
   template<typename Work>
@@ -95,6 +97,8 @@
   std::shared_ptr<const schema::Schema> m_schema;
   ChannelPool m_channels{ KeepAlive{} };
   routing::LinkBudget m_link{ {}, MonotonicNow() };
+  // Outlives the trace filters in m_traffic. Null: spans are not exported.
+  std::unique_ptr<observability::OtlpExporter> m_exporter;
   Traffic m_traffic;
 
   asio::io_context m_control;
