--- a/testing/deployment.cc
+++ b/testing/deployment.cc
@@ -1,5 +1,6 @@
 #include "testing/deployment.h"
 
+#include <algorithm>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
@@ -14,8 +15,11 @@
 
 } // namespace
 
-Deployment::Deployment(const std::string& aSchema, std::vector<VmPlan> aPlans)
-  : m_schema(std::string(WB_SOURCE_DIR) + "/schemas/" + aSchema + ".proto")
+Deployment::Deployment(const std::string& aSchema,
+                       std::vector<VmPlan> aPlans,
+                       DeploymentOptions aOptions)
+  : m_options(std::move(aOptions))
+  , m_schema(std::string(WB_SOURCE_DIR) + "/schemas/" + aSchema + ".proto")
 {
   std::string pattern =
     (std::filesystem::temp_directory_path() / "wagtailbend-XXXXXX").string();
@@ -51,7 +55,9 @@
   nlohmann::json settings = {
     { "name", vm.name },
     { "failure_domain",
-      m_schema.ends_with("vukovic.proto") ? "zagreb" : "ranong" },
+      !vm.plan.failureDomain.empty()        ? vm.plan.failureDomain
+      : m_schema.ends_with("vukovic.proto") ? "zagreb"
+                                            : "ranong" },
     { "listen",
       { { "customer", vm.customer },
         { "peer", vm.peer },
@@ -59,9 +65,16 @@
         { "admin", vm.admin },
         { "gossip", vm.gossip },
         { "http", vm.http } } },
-    { "schema_file", m_schema },
-    { "seeds", { m_vms.front().gossip } },
   };
+  for (size_t seed : m_options.seeds) {
+    settings["seeds"].push_back(m_vms[seed].gossip);
+  }
+  if (m_options.schemaFile) {
+    settings["schema_file"] = m_schema;
+  }
+  if (!m_options.platformUrl.empty()) {
+    settings["platform"] = { { "url", m_options.platformUrl } };
+  }
   std::string file = m_folder + "/" + vm.name + ".json";
   std::ofstream(file) << settings.dump();
   std::vector<std::string> command = { std::string(WB_BIN_DIR) + "/wagtaild",
@@ -97,12 +110,20 @@
 bool
 Deployment::Start()
 {
-  size_t targets = 0;
+  auto targets = static_cast<size_t>(
+    std::count_if(m_vms.begin(), m_vms.end(), [](const Vm& aVm) {
+      return !aVm.plan.service.empty();
+    }));
+  return StartProcesses() && WaitForTargets(targets, kStartLimit);
+}
+
+bool
+Deployment::StartProcesses()
+{
   for (size_t i = 0; i < m_vms.size(); ++i) {
     StartDaemon(i);
     if (!m_vms[i].plan.service.empty()) {
       StartTarget(i);
-      ++targets;
     }
   }
   for (Vm& vm : m_vms) {
@@ -112,7 +133,7 @@
       return false;
     }
   }
-  return WaitForTargets(targets, kStartLimit);
+  return true;
 }
 
 std::string
--- a/testing/deployment.h
+++ b/testing/deployment.h
@@ -21,7 +21,19 @@
   /// Full service name of the target; "" for a daemon without a target.
   std::string service;
   /// More arguments of wagtail-fake-target.
-  std::vector<std::string> targetArguments;
+  std::vector<std::string> targetArguments{};
+  /// "": the same for all VMs.
+  std::string failureDomain{};
+};
+
+struct DeploymentOptions
+{
+  /// "": without a platform.
+  std::string platformUrl{};
+  /// The daemons compile the schema themselves.
+  bool schemaFile = true;
+  /// Indices of the VMs whose gossip addresses all daemons know.
+  std::vector<size_t> seeds{ 0 };
 };
 
 struct Vm
@@ -44,12 +56,18 @@
 {
 public:
   /// aSchema is "association" or "vukovic".
-  Deployment(const std::string& aSchema, std::vector<VmPlan> aPlans);
+  Deployment(const std::string& aSchema,
+             std::vector<VmPlan> aPlans,
+             DeploymentOptions aOptions = {});
   ~Deployment();
 
   /// Starts all processes and waits until every daemon knows every target.
   /// Returns false after 20 s.
   bool Start();
+  /// Starts all processes and waits until each is ready.
+  bool StartProcesses();
+  /// Starts the daemon of a VM, again if it had ended.
+  void StartDaemon(size_t aIndex);
   Vm& At(size_t aIndex) { return m_vms[aIndex]; }
   /// Posts aJson to the fault switch of the target. Returns false on failure.
   bool SetFault(size_t aIndex, const std::string& aJson);
@@ -59,11 +77,11 @@
   bool WaitForTargets(size_t aCount, std::chrono::milliseconds aLimit);
   /// Starts the target of a VM, again if it had ended.
   void StartTarget(size_t aIndex);
+  const std::string& SchemaFile() const { return m_schema; }
   const std::string& Folder() const { return m_folder; }
 
 private:
-  void StartDaemon(size_t aIndex);
-
+  DeploymentOptions m_options;
   std::string m_schema;
   std::string m_folder;
   std::vector<Vm> m_vms;
