Quarantine requests that crash targets

Cause: a request that killed its target was retried up to its attempt budget and could be sent again at every daemon. Change: the ingress records what runs at its target; when the connection is lost and the target refuses a new one, or heartbeats stop, the requests become suspects and spread by gossip and summaries. Entry and ingress reject quarantined requests; a suspect goes to its trial daemon only. A daemon makes no third attempt after two lost targets, and holds the final reply for one gossip round. The ingress does not hold, so that lookups that were in flight with the crashing one are retried elsewhere at once.

--- a/testing/control_test.cc
+++ b/testing/control_test.cc
@@ -263,5 +263,39 @@
   EXPECT_EQ(failed, 0);
 }
 
+// Guards against a request that kills one target after another, through retries
+// of a daemon and through a caller that sends it again at every daemon.
+TEST(Control, CrashingRequestCostsTwoTargets)
+{
+  const std::vector<std::string> crash = { "--fault",
+                                           R"({"crash_key":"bad"})" };
+  Deployment deployment("association",
+                        { { kSettlements, crash },
+                          { kSettlements, crash },
+                          { kSettlements, crash },
+                          { kSettlements, crash },
+                          { "", {} } });
+  ASSERT_TRUE(deployment.Start());
+  size_t quarantined = 0;
+  for (int round = 0; round < 2; ++round) {
+    for (size_t i = 0; i < 5; ++i) {
+      CallRecord record =
+        Caller(deployment.At(i).customer).Call(kLookup, "bad");
+      EXPECT_FALSE(record.status.ok());
+      quarantined += record.error == "quarantined" ? 1 : 0;
+    }
+  }
+  size_t dead = 0;
+  for (size_t i = 0; i < 4; ++i) {
+    dead += deployment.At(i).targetProcess->Wait(milliseconds(0)) ? 1 : 0;
+  }
+  EXPECT_LE(dead, 2U);
+  EXPECT_GE(quarantined, 8U);
+  for (size_t i = 0; i < 5; ++i) {
+    Caller caller(deployment.At(i).customer);
+    EXPECT_TRUE(IsComplete(caller.Call(kLookup, "good"), kLookup, "good")) << i;
+  }
+}
+
 } // namespace
 } // namespace wagtailbend::testing
--- a/wagtailbend/daemon/balancing_chooser.cc
+++ b/wagtailbend/daemon/balancing_chooser.cc
@@ -82,6 +82,14 @@
   if (fromPeer && own) {
     return own;
   }
+  if (aContext.trialDaemon) {
+    bool tried =
+      std::find(aTried.begin(), aTried.end(), *aContext.trialDaemon) !=
+      aTried.end();
+    return tried ? nullptr
+                 : FindDestination(
+                     aSnapshot, method.service, *aContext.trialDaemon);
+  }
   bool order = method.kind == schema::Kind::kOrder;
   if (fromPeer && (order || aContext.relayedByContact)) {
     return nullptr;
--- a/wagtailbend/daemon/bridge.cc
+++ b/wagtailbend/daemon/bridge.cc
@@ -210,6 +210,7 @@
                      now);
   m_traffic.counters.attempts.fetch_add(1, std::memory_order_relaxed);
   m_traffic.chooser->OnStart(*m_destination, now);
+  EnterTarget();
   auto attempt =
     m_traffic.transport->Prepare(MakeAttemptRequest(*allotted), *this);
   if (Publish(attempt)) {
--- a/wagtailbend/daemon/bridge.h
+++ b/wagtailbend/daemon/bridge.h
@@ -7,11 +7,13 @@
 #pragma once
 
 #include <atomic>
+#include <functional>
 #include <memory>
 #include <mutex>
 #include <optional>
 #include <vector>
 
+#include <grpcpp/alarm.h>
 #include <grpcpp/generic/async_generic_service.h>
 
 #include "wagtailbend/answers/response_verifier.h"
@@ -58,6 +60,11 @@
   void SendIds();
   void Leave(const filters::Outcome& aOutcome);
 
+  // Requests that crash targets, in bridge_quarantine.cc.
+  void EnterTarget();
+  void LeaveTarget(const std::optional<Error>& aError, const AttemptEnd& aEnd);
+  bool HoldReply(std::function<void()> aReply);
+
   Traffic& m_traffic;
   grpc::GenericCallbackServerContext& m_serverContext;
   std::shared_ptr<const RoutingSnapshot> m_snapshot;
@@ -84,6 +91,10 @@
   // An earlier attempt may have run the request.
   bool m_mayHaveRun = false;
   uint64_t m_responseBytes = 0;
+  // Attempts whose target died, and when the last one did.
+  size_t m_targetsLost = 0;
+  TimePoint m_lostAt;
+  grpc::Alarm m_holdTimer;
 
   std::atomic<bool> m_cancelled{ false };
   // Guards m_attempt against OnCancel; never held while gRPC is called with
--- a/wagtailbend/daemon/bridge_end.cc
+++ b/wagtailbend/daemon/bridge_end.cc
@@ -76,6 +76,7 @@
   RunState run = RunState::kRan;
   std::optional<Error> error = ErrorOf(aEnd, run);
   TimePoint now = MonotonicNow();
+  LeaveTarget(error, aEnd);
   m_traffic.chooser->OnEnd(*m_destination,
                            { error ? std::optional(error->kind) : std::nullopt,
                              now - m_attemptStart,
@@ -118,6 +119,11 @@
     aError.kind = ErrorKind::kOutcomeUnknown;
   }
   bool ownStatus = aError.kind == ErrorKind::kTargetFailed;
+  if (!ownStatus && HoldReply([this, aError, aRun] {
+        FinishWithError(aError, aRun, nullptr);
+      })) {
+    return;
+  }
   FinishWithError(std::move(aError), aRun, ownStatus ? &aEnd.status : nullptr);
 }
 
@@ -126,7 +132,8 @@
 {
   const schema::Method& method = *m_context.method;
   if (m_context.origin == filters::Origin::kPeer || m_framePassedOn ||
-      m_cancelled.load() || !AnswerFor(aError.kind).retryable) {
+      m_cancelled.load() || !AnswerFor(aError.kind).retryable ||
+      m_targetsLost >= quarantine::kMaxLosses) {
     return false;
   }
   if (aRun != RunState::kNotRun &&
--- a/wagtailbend/daemon/control.cc
+++ b/wagtailbend/daemon/control.cc
@@ -60,8 +60,10 @@
 {
   TimePoint now = MonotonicNow();
   if (m_target.Expire(now)) {
+    ReportLostTarget(m_quarantine->InFlight(), now);
     OnTargetChanged("lost");
   }
+  SpreadQuarantine();
   if (m_routing->Expire(now)) {
     Publish();
   }
--- a/wagtailbend/daemon/control_wiring.cc
+++ b/wagtailbend/daemon/control_wiring.cc
@@ -154,6 +154,8 @@
 Daemon::OnMembersChanged()
 {
   m_config->Select(m_membership->IsSelected("config-poll", kPollersPerDomain));
+  TimePoint now = MonotonicNow();
+  m_quarantine->Update(m_membership->Quarantine(now), LiveByService(), now);
   Publish();
 }
 
@@ -173,7 +175,7 @@
   }
   state.draining = m_draining || (target && m_target.Draining());
   m_membership->SetTarget(state);
-  Publish();
+  OnMembersChanged();
 }
 
 void
--- a/wagtailbend/daemon/daemon.cc
+++ b/wagtailbend/daemon/daemon.cc
@@ -12,6 +12,7 @@
 
 #include "wagtailbend/daemon/bridge.h"
 #include "wagtailbend/daemon/grpc_transport.h"
+#include "wagtailbend/daemon/quarantine_filter.h"
 #include "wagtailbend/filters/deadline_filter.h"
 #include "wagtailbend/filters/trace_filter.h"
 #include "wagtailbend/observability/event_log.h"
@@ -115,11 +116,15 @@
       settings.traceUrl, settings.name);
   }
   // Section 4.1 gives the order of the filters of each address. The
-  // quarantine, budget, threshold and order filters are added here.
+  // budget, threshold and order filters are added here.
+  m_quarantine = std::make_unique<QuarantineGuard>(m_id);
+  m_traffic.quarantine = m_quarantine.get();
   for (filters::FilterChain& chain : m_traffic.chains) {
     chain.Add(std::make_unique<filters::TraceFilter>(
       m_exporter.get(), settings.traceSamplePerMillion));
     chain.Add(std::make_unique<filters::DeadlineFilter>(m_options.returnTime));
+    chain.Add(
+      std::make_unique<QuarantineFilter>(*m_quarantine, m_traffic.snapshots));
   }
 }
 
--- a/wagtailbend/daemon/daemon.h
+++ b/wagtailbend/daemon/daemon.h
@@ -68,6 +68,9 @@
   void WireSummaries();
   void WireAdmin();
   void OnMembersChanged();
+  void ReportLostTarget(const std::vector<uint64_t>& aInFlight, TimePoint aNow);
+  void SpreadQuarantine();
+  std::map<std::string, std::vector<DaemonId>> LiveByService() const;
   void OnTargetChanged(std::string_view aState);
   void OnConfigInForce(
     const std::shared_ptr<const config::ConfigInForce>& aConfig);
@@ -81,6 +84,8 @@
   auto OnControl(Work aWork) -> decltype(aWork());
 
   void OnUnreachable(const Destination& aDestination) override;
+  void OnOwnTargetLost(std::vector<uint64_t> aInFlight,
+                       TimePoint aNow) override;
 
   // The control thread's part.
   void Publish();
@@ -99,6 +104,7 @@
   routing::LinkBudget m_link{ {}, MonotonicNow() };
   // Outlives the trace filters in m_traffic. Null: spans are not exported.
   std::unique_ptr<observability::OtlpExporter> m_exporter;
+  std::unique_ptr<QuarantineGuard> m_quarantine;
   Traffic m_traffic;
 
   asio::io_context m_control;
@@ -113,6 +119,8 @@
     std::make_shared<ControlQueue>(m_control);
   std::shared_ptr<platform::Platform> m_platform;
   TargetRegistry m_target;
+  // Connections lost until then belong to the same death of the target.
+  TimePoint m_lossUntil;
   std::unique_ptr<RoutingController> m_routing;
   std::unique_ptr<MembershipController> m_membership;
   std::unique_ptr<ConfigRunner> m_config;
--- a/wagtailbend/daemon/status_lines.cc
+++ b/wagtailbend/daemon/status_lines.cc
@@ -76,6 +76,9 @@
                               m_linkBytes->sent.load(),
                               m_linkBytes->received.load()));
   TimePoint now = MonotonicNow();
+  auto [entries, quarantined] = m_quarantine->Counts(now);
+  lines.push_back(
+    fmt::format("quarantine entries={} quarantined={}", entries, quarantined));
   m_routing->AddStatus(lines, now);
   for (std::string& line : lines) {
     aReply.add_lines(std::move(line));
--- a/wagtailbend/daemon/traffic.h
+++ b/wagtailbend/daemon/traffic.h
@@ -5,9 +5,11 @@
 #include <array>
 #include <atomic>
 #include <memory>
+#include <vector>
 
 #include "wagtailbend/daemon/peer_transport.h"
 #include "wagtailbend/daemon/policies.h"
+#include "wagtailbend/daemon/quarantine_guard.h"
 #include "wagtailbend/daemon/routing_snapshot.h"
 #include "wagtailbend/filters/filter.h"
 
@@ -43,6 +45,9 @@
 public:
   virtual ~TrafficEvents() = default;
 
+  /// The connection to the own target was lost while aInFlight ran there.
+  virtual void OnOwnTargetLost(std::vector<uint64_t> aInFlight,
+                               TimePoint aNow) = 0;
   /// aDestination refused a connection.
   virtual void OnUnreachable(const Destination& aDestination) = 0;
 };
@@ -61,6 +66,8 @@
   std::unique_ptr<TargetChooser> chooser;
   std::unique_ptr<AttemptPolicy> attempts;
   TrafficEvents* events = nullptr;
+  /// Null: requests that crash targets are not noticed.
+  QuarantineGuard* quarantine = nullptr;
   Duration progressBound{};
   TrafficCounters counters;
 };
--- a/wagtailbend/filters/request_context.h
+++ b/wagtailbend/filters/request_context.h
@@ -48,6 +48,12 @@
   /// xxHash64 of the request payload.
   uint64_t payloadHash = 0;
   uint64_t requestBytes = 0;
+  /// Of method and payload, set by the quarantine filter.
+  uint64_t fingerprint = 0;
+  /// A suspect: the only daemon that may run it.
+  std::optional<DaemonId> trialDaemon;
+  /// A suspect that this daemon tries.
+  bool isTrial = false;
   /// A daemon that is a contact of its failure domain has relayed this request;
   /// it ends at the own target.
   bool relayedByContact = false;
