--- a/wagtailbend/daemon/bridge_quarantine.cc
+++ b/wagtailbend/daemon/bridge_quarantine.cc
@@ -7,38 +7,20 @@
 namespace wagtailbend::daemon {
 
 void
-Bridge::EnterTarget()
+Bridge::NoteLostTarget(const std::optional<Error>& aError,
+                       const AttemptEnd& aEnd)
 {
-  if (m_traffic.quarantine && m_destination->own) {
-    m_traffic.quarantine->Enter(m_context.fingerprint);
-  }
-}
-
-void
-Bridge::LeaveTarget(const std::optional<Error>& aError, const AttemptEnd& aEnd)
-{
-  if (!m_traffic.quarantine) {
-    return;
-  }
-  TimePoint now = MonotonicNow();
   // A connection that went silent or was never opened is no sign of a crash.
-  bool lost = aError && aError->kind == ErrorKind::kConnectionLost &&
-              !aEnd.silent && !aEnd.unreachable;
-  if (lost) {
-    ++m_targetsLost;
-    m_lostAt = now;
-  }
-  if (m_destination->own) {
-    // Reported before any request that was lost leaves the list.
-    if (lost && m_traffic.events) {
-      m_traffic.events->OnOwnTargetLost(m_traffic.quarantine->InFlight(), now);
-    }
-    m_traffic.quarantine->Leave(m_context.fingerprint);
+  if (!m_traffic.quarantine || !aError ||
+      aError->kind != ErrorKind::kConnectionLost || aEnd.silent ||
+      aEnd.unreachable) {
     return;
   }
+  ++m_targetsLost;
+  m_lostAt = MonotonicNow();
   // Without an error kind the trial daemon itself is gone.
-  if (lost && m_context.trialDaemon && aEnd.error.empty()) {
-    m_traffic.quarantine->TrialConnectionLost(m_context.fingerprint, now);
+  if (m_context.trialDaemon && !m_destination->own && aEnd.error.empty()) {
+    m_traffic.quarantine->TrialConnectionLost(m_context.fingerprint, m_lostAt);
   }
 }
 
--- a/wagtailbend/daemon/control_wiring.cc
+++ b/wagtailbend/daemon/control_wiring.cc
@@ -159,6 +159,15 @@
   Publish();
 }
 
+void
+Daemon::UpdateGate()
+{
+  if (m_schema && m_target.Target() &&
+      m_schema->FindService(m_target.Target()->service)) {
+    m_traffic.gate.SetTarget(GateConfig(*m_schema, *m_target.Target()));
+  }
+}
+
 void
 Daemon::OnTargetChanged(std::string_view aState)
 {
@@ -174,6 +183,7 @@
     state.cold = target->cold;
   }
   state.draining = m_draining || (target && m_target.Draining());
+  UpdateGate();
   m_membership->SetTarget(state);
   OnMembersChanged();
 }
@@ -183,6 +193,7 @@
   const std::shared_ptr<const config::ConfigInForce>& aConfig)
 {
   m_schema = std::shared_ptr<const schema::Schema>(aConfig, &aConfig->schema);
+  UpdateGate();
   m_membership->OfferConfig(ToGossip(aConfig->version));
   Publish();
 }
--- a/wagtailbend/daemon/daemon.cc
+++ b/wagtailbend/daemon/daemon.cc
@@ -13,7 +13,9 @@
 #include "wagtailbend/daemon/bridge.h"
 #include "wagtailbend/daemon/grpc_transport.h"
 #include "wagtailbend/daemon/quarantine_filter.h"
+#include "wagtailbend/filters/budget_filter.h"
 #include "wagtailbend/filters/deadline_filter.h"
+#include "wagtailbend/filters/threshold_filter.h"
 #include "wagtailbend/filters/trace_filter.h"
 #include "wagtailbend/observability/event_log.h"
 
@@ -107,7 +109,6 @@
   auto chooser = std::make_unique<BalancingChooser>(m_link);
   m_linkBytes = &chooser->Bytes();
   m_traffic.chooser = std::move(chooser);
-  m_traffic.attempts = std::make_unique<FixedCostPolicy>();
   m_traffic.events = this;
   m_traffic.progressBound = m_options.progressBound;
   const settings::Settings& settings = m_options.settings;
@@ -116,15 +117,24 @@
       settings.traceUrl, settings.name);
   }
   // Section 4.1 gives the order of the filters of each address. The
-  // budget, threshold and order filters are added here.
-  m_quarantine = std::make_unique<QuarantineGuard>(m_id);
+  // order filter is added here.
+  m_quarantine = std::make_unique<QuarantineGuard>(
+    m_id, [this](std::vector<uint64_t> aInFlight, TimePoint aNow) {
+      OnOwnTargetLost(std::move(aInFlight), aNow);
+    });
   m_traffic.quarantine = m_quarantine.get();
-  for (filters::FilterChain& chain : m_traffic.chains) {
+  for (size_t i = 0; i < kOriginCount; ++i) {
+    filters::FilterChain& chain = m_traffic.chains[i];
     chain.Add(std::make_unique<filters::TraceFilter>(
       m_exporter.get(), settings.traceSamplePerMillion));
     chain.Add(std::make_unique<filters::DeadlineFilter>(m_options.returnTime));
     chain.Add(
       std::make_unique<QuarantineFilter>(*m_quarantine, m_traffic.snapshots));
+    if (static_cast<filters::Origin>(i) == filters::Origin::kPeer) {
+      continue;
+    }
+    chain.Add(std::make_unique<filters::BudgetFilter>(m_traffic.registry));
+    chain.Add(std::make_unique<filters::ThresholdFilter>(m_traffic.thresholds));
   }
 }
 
--- a/wagtailbend/daemon/daemon.h
+++ b/wagtailbend/daemon/daemon.h
@@ -22,6 +22,7 @@
 #include "wagtailbend/daemon/config_runner.h"
 #include "wagtailbend/daemon/control_peer_service.h"
 #include "wagtailbend/daemon/control_queue.h"
+#include "wagtailbend/daemon/hedging.h"
 #include "wagtailbend/daemon/http_pages.h"
 #include "wagtailbend/daemon/link_probe.h"
 #include "wagtailbend/daemon/membership_controller.h"
@@ -68,6 +69,7 @@
   void WireSummaries();
   void WireAdmin();
   void OnMembersChanged();
+  void UpdateGate();
   void ReportLostTarget(const std::vector<uint64_t>& aInFlight, TimePoint aNow);
   void SpreadQuarantine();
   std::map<std::string, std::vector<DaemonId>> LiveByService() const;
@@ -84,8 +86,7 @@
   auto OnControl(Work aWork) -> decltype(aWork());
 
   void OnUnreachable(const Destination& aDestination) override;
-  void OnOwnTargetLost(std::vector<uint64_t> aInFlight,
-                       TimePoint aNow) override;
+  void OnOwnTargetLost(std::vector<uint64_t> aInFlight, TimePoint aNow);
 
   // The control thread's part.
   void Publish();
@@ -106,6 +107,7 @@
   std::unique_ptr<observability::OtlpExporter> m_exporter;
   std::unique_ptr<QuarantineGuard> m_quarantine;
   Traffic m_traffic;
+  HedgePolicies m_hedges;
 
   asio::io_context m_control;
   asio::signal_set m_signals{ m_control };
--- a/wagtailbend/daemon/quarantine_guard.cc
+++ b/wagtailbend/daemon/quarantine_guard.cc
@@ -53,8 +53,9 @@
                                    { payload, sizeof(payload) });
 }
 
-QuarantineGuard::QuarantineGuard(DaemonId aSelf)
+QuarantineGuard::QuarantineGuard(DaemonId aSelf, OnLost aOnLost)
   : m_list(std::move(aSelf))
+  , m_onLost(std::move(aOnLost))
   , m_rng(MakeSeededRng())
   , m_listed(std::make_shared<const Listed>())
 {
@@ -121,7 +122,7 @@
 }
 
 void
-QuarantineGuard::Enter(uint64_t aFingerprint)
+QuarantineGuard::OnHandedOver(uint64_t aFingerprint)
 {
   Shard& shard = ShardOf(aFingerprint);
   std::lock_guard lock(shard.mutex);
@@ -129,8 +130,12 @@
 }
 
 void
-QuarantineGuard::Leave(uint64_t aFingerprint)
+QuarantineGuard::OnReturned(uint64_t aFingerprint, bool aLost)
 {
+  // Reported before any request that was lost leaves the set.
+  if (aLost) {
+    m_onLost(InFlight(), MonotonicNow());
+  }
   Shard& shard = ShardOf(aFingerprint);
   std::lock_guard lock(shard.mutex);
   auto found = shard.running.find(aFingerprint);
--- a/wagtailbend/daemon/quarantine_guard.h
+++ b/wagtailbend/daemon/quarantine_guard.h
@@ -3,8 +3,8 @@
 //
 //   QuarantineGuard guard(self);
 //   Verdict verdict = guard.Check(fingerprint, service, now);
-//   guard.Enter(fingerprint);           // handed over to the own target
-//   guard.Leave(fingerprint);
+//   guard.OnHandedOver(fingerprint);
+//   guard.OnReturned(fingerprint, /*aLost=*/false);
 
 #pragma once
 
@@ -19,6 +19,7 @@
 #include <unordered_set>
 #include <vector>
 
+#include "wagtailbend/daemon/gated_attempt.h"
 #include "wagtailbend/filters/request_context.h"
 #include "wagtailbend/membership/member.h"
 #include "wagtailbend/quarantine/quarantine_list.h"
@@ -32,10 +33,14 @@
 
 /// Thread-safe. The lock of the list is taken only for requests that are
 /// listed.
-class QuarantineGuard
+class QuarantineGuard final : public TargetWatch
 {
 public:
-  explicit QuarantineGuard(DaemonId aSelf);
+  /// Receives all requests that ran at the own target when its connection was
+  /// lost. Called on any thread.
+  using OnLost = std::function<void(std::vector<uint64_t>, TimePoint)>;
+
+  QuarantineGuard(DaemonId aSelf, OnLost aOnLost);
 
   quarantine::Verdict Check(uint64_t aFingerprint,
                             const std::string& aService,
@@ -48,9 +53,8 @@
   /// The connection to the daemon of a trial was lost.
   void TrialConnectionLost(uint64_t aFingerprint, TimePoint aNow);
 
-  /// The request was handed over to the own target, or came back.
-  void Enter(uint64_t aFingerprint);
-  void Leave(uint64_t aFingerprint);
+  void OnHandedOver(uint64_t aFingerprint) override;
+  void OnReturned(uint64_t aFingerprint, bool aLost) override;
   /// Everything that runs at the own target now.
   std::vector<uint64_t> InFlight() const;
   /// The own target died with aInFlight.
@@ -88,6 +92,7 @@
 
   mutable std::mutex m_mutex;
   quarantine::QuarantineList m_list;
+  OnLost m_onLost;
   std::map<std::string, std::vector<DaemonId>> m_live;
   std::vector<quarantine::Entry> m_news;
   Rng m_rng;
--- a/wagtailbend/daemon/traffic.h
+++ b/wagtailbend/daemon/traffic.h
@@ -7,6 +7,10 @@
 #include <memory>
 #include <vector>
 
+#include "wagtailbend/admission/threshold_table.h"
+#include "wagtailbend/attempts/ratio_limiter.h"
+#include "wagtailbend/attempts/registry.h"
+#include "wagtailbend/daemon/ingress_gate.h"
 #include "wagtailbend/daemon/peer_transport.h"
 #include "wagtailbend/daemon/policies.h"
 #include "wagtailbend/daemon/quarantine_guard.h"
@@ -25,6 +29,7 @@
   std::atomic<uint64_t> completed{ 0 };
   std::atomic<uint64_t> attempts{ 0 };
   std::atomic<uint64_t> retries{ 0 };
+  std::atomic<uint64_t> hedges{ 0 };
   std::atomic<uint64_t> mismatches{ 0 };
   std::array<std::atomic<uint64_t>, kErrorKindCount> errors{};
 
@@ -45,9 +50,6 @@
 public:
   virtual ~TrafficEvents() = default;
 
-  /// The connection to the own target was lost while aInFlight ran there.
-  virtual void OnOwnTargetLost(std::vector<uint64_t> aInFlight,
-                               TimePoint aNow) = 0;
   /// aDestination refused a connection.
   virtual void OnUnreachable(const Destination& aDestination) = 0;
 };
@@ -60,13 +62,15 @@
   std::unique_ptr<PeerTransport> transport;
   /// By Origin.
   std::array<filters::FilterChain, kOriginCount> chains;
-  /// Null: every request is admitted at once. Used for requests that the own
-  /// target runs.
-  std::unique_ptr<filters::AdmissionGate> gate;
+  /// In front of the own target.
+  IngressGate gate;
+  /// The requests that the own target runs.
+  attempts::RequestRegistry registry;
+  admission::ThresholdTable thresholds;
+  attempts::RatioLimiter retryRatio{ attempts::kRetryRatioPercent,
+                                     attempts::kRetryAllowance };
   std::unique_ptr<TargetChooser> chooser;
-  std::unique_ptr<AttemptPolicy> attempts;
   TrafficEvents* events = nullptr;
-  /// Null: requests that crash targets are not noticed.
   QuarantineGuard* quarantine = nullptr;
   Duration progressBound{};
   TrafficCounters counters;
