--- a/testing/deployment.cc
+++ b/testing/deployment.cc
@@ -1,5 +1,6 @@
 #include "testing/deployment.h"
 
+#include <algorithm>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
@@ -16,8 +17,11 @@
 
 } // namespace
 
-Deployment::Deployment(const std::string& aSchema, std::vector<VmPlan> aPlans)
-  : m_schema(std::string(WB_SOURCE_DIR) + "/schemas/" + aSchema + ".proto")
+Deployment::Deployment(const std::string& aSchema,
+                       std::vector<VmPlan> aPlans,
+                       DeploymentOptions aOptions)
+  : m_options(std::move(aOptions))
+  , m_schema(std::string(WB_SOURCE_DIR) + "/schemas/" + aSchema + ".proto")
 {
   std::string pattern =
     (std::filesystem::temp_directory_path() / "wagtailbend-XXXXXX").string();
@@ -30,6 +34,8 @@
                            &vm.peer,
                            &vm.egress,
                            &vm.http,
+                           &vm.admin,
+                           &vm.gossip,
                            &vm.target,
                            &vm.targetHttp }) {
       *address = FreeAddress();
@@ -51,15 +57,16 @@
   nlohmann::json settings = {
     { "name", vm.name },
     { "failure_domain",
-      m_schema.ends_with("vukovic.proto") ? "zagreb" : "ranong" },
+      !vm.plan.failureDomain.empty()        ? vm.plan.failureDomain
+      : m_schema.ends_with("vukovic.proto") ? "zagreb"
+                                            : "ranong" },
     { "listen",
       { { "customer", vm.customer },
         { "peer", vm.peer },
         { "egress", vm.egress },
-        { "admin", FreeAddress() },
-        { "gossip", FreeAddress() },
+        { "admin", vm.admin },
+        { "gossip", vm.gossip },
         { "http", vm.http } } },
-    { "schema_file", m_schema },
   };
   if (m_platform) {
     settings["platform"] = { { "url", "http://" + m_platformAddress },
@@ -69,16 +76,20 @@
     settings["trace"] = { { "url", m_traceUrl },
                           { "sample_per_million", 1000000 } };
   }
+  for (size_t seed : m_options.seeds) {
+    settings["seeds"].push_back(m_vms[seed].gossip);
+  }
+  if (m_options.schemaFile) {
+    settings["schema_file"] = m_schema;
+  }
+  if (!m_options.platformUrl.empty()) {
+    settings["platform"] = { { "url", m_options.platformUrl } };
+  }
   std::string file = m_folder + "/" + vm.name + ".json";
   std::ofstream(file) << settings.dump();
   std::vector<std::string> command = { std::string(WB_BIN_DIR) + "/wagtaild",
                                        "--settings",
                                        file };
-  for (const Vm& other : m_vms) {
-    if (&other != &vm) {
-      command.insert(command.end(), { "--seed-http", other.http });
-    }
-  }
   vm.daemon = std::make_unique<Process>(std::move(command));
 }
 
@@ -118,12 +129,21 @@
       return false;
     }
   }
-  size_t targets = 0;
+  auto targets = static_cast<size_t>(
+    std::count_if(m_vms.begin(), m_vms.end(), [](const Vm& aVm) {
+      return !aVm.plan.service.empty();
+    }));
+  return StartProcesses() && WaitForTargets(targets, kStartLimit) &&
+         WaitForPeers(kStartLimit);
+}
+
+bool
+Deployment::StartProcesses()
+{
   for (size_t i = 0; i < m_vms.size(); ++i) {
     StartDaemon(i);
     if (!m_vms[i].plan.service.empty()) {
       StartTarget(i);
-      ++targets;
     }
   }
   for (Vm& vm : m_vms) {
@@ -133,7 +153,7 @@
       return false;
     }
   }
-  return WaitForTargets(targets, kStartLimit) && WaitForPeers(kStartLimit);
+  return true;
 }
 
 std::string
--- a/testing/deployment.h
+++ b/testing/deployment.h
@@ -21,7 +21,19 @@
   /// Full service name of the target; "" for a daemon without a target.
   std::string service;
   /// More arguments of wagtail-fake-target.
-  std::vector<std::string> targetArguments;
+  std::vector<std::string> targetArguments{};
+  /// "": the same for all VMs.
+  std::string failureDomain{};
+};
+
+struct DeploymentOptions
+{
+  /// "": without a platform.
+  std::string platformUrl{};
+  /// The daemons compile the schema themselves.
+  bool schemaFile = true;
+  /// Indices of the VMs whose gossip addresses all daemons know.
+  std::vector<size_t> seeds{ 0 };
 };
 
 struct Vm
@@ -32,6 +44,8 @@
   std::string peer;
   std::string egress;
   std::string http;
+  std::string admin;
+  std::string gossip;
   std::string target;
   std::string targetHttp;
   std::unique_ptr<Process> daemon;
@@ -42,7 +56,9 @@
 {
 public:
   /// aSchema is "association" or "vukovic".
-  Deployment(const std::string& aSchema, std::vector<VmPlan> aPlans);
+  Deployment(const std::string& aSchema,
+             std::vector<VmPlan> aPlans,
+             DeploymentOptions aOptions = {});
   ~Deployment();
 
   /// Starts all processes and waits until every daemon knows every target and
@@ -55,6 +71,10 @@
   bool SetPlatformFault(const std::string& aJson);
   /// Exports the spans of all requests to aUrl. Call before Start.
   void TraceTo(const std::string& aUrl) { m_traceUrl = aUrl; }
+  /// Starts all processes and waits until each is ready.
+  bool StartProcesses();
+  /// Starts the daemon of a VM, again if it had ended.
+  void StartDaemon(size_t aIndex);
   Vm& At(size_t aIndex) { return m_vms[aIndex]; }
   /// Posts aJson to the fault switch of the target. Returns false on failure.
   bool SetFault(size_t aIndex, const std::string& aJson);
@@ -66,15 +86,15 @@
   std::string Page(size_t aIndex, const std::string& aPath);
   /// Waits until every running daemon sees aCount targets, its own included.
   bool WaitForTargets(size_t aCount, std::chrono::milliseconds aLimit);
-  /// Starts the daemon of a VM, again if it had ended.
-  void StartDaemon(size_t aIndex);
   /// Starts the target of a VM, again if it had ended.
   void StartTarget(size_t aIndex);
+  const std::string& SchemaFile() const { return m_schema; }
   const std::string& Folder() const { return m_folder; }
 
 private:
   bool WaitForPeers(std::chrono::milliseconds aLimit);
 
+  DeploymentOptions m_options;
   std::string m_schema;
   std::string m_folder;
   std::string m_traceUrl;
--- a/wagtailbend/daemon/bridge.cc
+++ b/wagtailbend/daemon/bridge.cc
@@ -91,6 +91,7 @@
   }
   m_context.priority = m_context.method->priority;
   if (m_context.origin == filters::Origin::kPeer) {
+    m_context.relayedByContact = !text(kRelayedKey).empty();
     m_context.nested = m_context.parent.has_value();
     m_context.priority =
       std::min(ParseNumber(text(kPriorityKey), m_context.priority),
@@ -150,6 +151,7 @@
 Bridge::RunFilters()
 {
   m_context.payloadHash = HashOf(m_request);
+  m_context.requestBytes = m_request.Length();
   auto& chain = m_traffic.chains[static_cast<size_t>(m_context.origin)];
   auto error = chain.OnRequest(m_context, m_context.arrival, m_filtersEntered);
   if (error) {
@@ -195,6 +197,9 @@
   if (!aLeg.destination->own && m_order.role != OrderRole::kRelay) {
     metadata.emplace_back(kIncarnationKey,
                           ToHex(aLeg.destination->daemon.incarnation));
+    if (m_context.origin == filters::Origin::kPeer) {
+      metadata.emplace_back(kRelayedKey, "1");
+    }
     // Tells the peer's gate that the call belongs to admitted work.
     if (m_context.nested) {
       metadata.emplace_back(kParentKey, m_context.parent->ToString());
--- a/wagtailbend/daemon/bridge.h
+++ b/wagtailbend/daemon/bridge.h
@@ -7,11 +7,13 @@
 #pragma once
 
 #include <atomic>
+#include <functional>
 #include <memory>
 #include <mutex>
 #include <optional>
 #include <vector>
 
+#include <grpcpp/alarm.h>
 #include <grpcpp/generic/async_generic_service.h>
 
 #include "wagtailbend/answers/response_verifier.h"
@@ -92,6 +94,11 @@
   void SettleGrant(Error aError, bool aNotStarted);
   void ConfirmRunState(Error& aError, RunState& aRun);
 
+  // Requests that crash targets, in bridge_quarantine.cc.
+  void NoteLostTarget(const std::optional<Error>& aError,
+                      const AttemptEnd& aEnd);
+  bool HoldReply(std::function<void()> aReply);
+
   Traffic& m_traffic;
   grpc::GenericCallbackServerContext& m_serverContext;
   std::shared_ptr<const RoutingSnapshot> m_snapshot;
@@ -122,6 +129,10 @@
   bool m_mayHaveRun = false;
   uint64_t m_responseBytes = 0;
   OrderProgress m_order;
+  // Attempts whose target died, and when the last one did.
+  size_t m_targetsLost = 0;
+  TimePoint m_lostAt;
+  grpc::Alarm m_holdTimer;
   // What the last attempt told about admission, passed on to the caller.
   std::string m_threshold;
   std::string m_retryAfter;
--- a/wagtailbend/daemon/bridge_attempts.cc
+++ b/wagtailbend/daemon/bridge_attempts.cc
@@ -198,11 +198,16 @@
   if (!aLeg.destination->own) {
     return m_traffic.transport->Prepare(std::move(request), aObserver);
   }
-  LocalRun run{
-    m_schema,         m_context.method,       m_context.requestId,
-    aLeg.attemptId,   m_context.deadline,     m_context.priority,
-    m_context.nested, aLeg.grant.childBudget, m_traffic.open.Enter()
-  };
+  LocalRun run{ m_schema,
+                m_context.method,
+                m_context.requestId,
+                aLeg.attemptId,
+                m_context.deadline,
+                m_context.priority,
+                m_context.nested,
+                aLeg.grant.childBudget,
+                m_context.fingerprint,
+                m_traffic.open.Enter() };
   if (m_order.role != OrderRole::kNone) {
     run.orders = &m_traffic.orders->book;
     run.ticket = m_order.ticket;
@@ -210,6 +215,7 @@
   return PrepareGated(*m_traffic.transport,
                       m_traffic.gate,
                       m_traffic.registry,
+                      *m_traffic.quarantine,
                       std::move(run),
                       std::move(request),
                       aObserver);
--- a/wagtailbend/daemon/bridge_end.cc
+++ b/wagtailbend/daemon/bridge_end.cc
@@ -78,12 +78,16 @@
   RunState run = RunState::kRan;
   std::optional<Error> error = ErrorOf(aEnd, run);
   TimePoint now = MonotonicNow();
+  NoteLostTarget(error, aEnd);
   if (m_order.role != OrderRole::kRelay) {
     m_traffic.chooser->OnEnd(
       *m_destination,
       { error ? std::optional(error->kind) : std::nullopt,
         now - m_attemptStart,
-        aEnd.threshold },
+        aEnd.threshold,
+        m_context.requestBytes,
+        m_responseBytes,
+        m_context.method->serverStreaming },
       now);
   }
   LearnFrom(aEnd, !error, now);
@@ -144,6 +148,11 @@
     aError.kind = ErrorKind::kOutcomeUnknown;
   }
   bool ownStatus = aError.kind == ErrorKind::kTargetFailed;
+  if (!ownStatus && HoldReply([this, aError, aRun] {
+        FinishWithError(aError, aRun, nullptr);
+      })) {
+    return;
+  }
   FinishWithError(std::move(aError), aRun, ownStatus ? &aEnd.status : nullptr);
 }
 
@@ -153,7 +162,8 @@
   const schema::Method& method = *m_context.method;
   if (m_order.role == OrderRole::kRelay ||
       m_context.origin == filters::Origin::kPeer || m_framePassedOn ||
-      m_cancelled.load() || !AnswerFor(aError.kind).retryable) {
+      m_cancelled.load() || !AnswerFor(aError.kind).retryable ||
+      m_targetsLost >= quarantine::kMaxLosses) {
     return false;
   }
   if (aRun != RunState::kNotRun &&
--- a/wagtailbend/daemon/daemon.cc
+++ b/wagtailbend/daemon/daemon.cc
@@ -1,8 +1,10 @@
 #include "wagtailbend/daemon/daemon.h"
 
 #include <future>
+#include <thread>
 #include <utility>
 
+#include <asio/executor_work_guard.hpp>
 #include <asio/post.hpp>
 #include <fmt/format.h>
 #include <grpcpp/security/server_credentials.h>
@@ -11,6 +13,7 @@
 #include "wagtailbend/daemon/bridge.h"
 #include "wagtailbend/daemon/grpc_transport.h"
 #include "wagtailbend/daemon/order_services.h"
+#include "wagtailbend/daemon/quarantine_filter.h"
 #include "wagtailbend/filters/budget_filter.h"
 #include "wagtailbend/filters/deadline_filter.h"
 #include "wagtailbend/filters/threshold_filter.h"
@@ -60,29 +63,43 @@
 
 Daemon::~Daemon()
 {
-  // The pages and the servers post to the control thread's context.
+  // Calls of the pages and the servers end on the control thread, so that it
+  // runs until they have stopped.
+  m_control.restart();
+  auto guard = asio::make_work_guard(m_control);
+  std::thread control([this] { m_control.run(); });
   m_pages.reset();
   for (auto& server : m_servers) {
     server->Shutdown(std::chrono::system_clock::now());
   }
   m_servers.clear();
   m_blockingPool.join();
+  m_queue->Close();
+  m_control.stop();
+  control.join();
 }
 
 Result<std::unique_ptr<Daemon>>
 Daemon::Start(DaemonOptions aOptions)
 {
-  auto compiled = schema::CompileSchemaFile(aOptions.settings.schemaFile, {});
-  if (const Error* error = GetError(compiled)) {
-    return *error;
+  std::shared_ptr<const schema::Schema> schema;
+  if (!aOptions.settings.schemaFile.empty()) {
+    auto compiled = schema::CompileSchemaFile(aOptions.settings.schemaFile, {});
+    if (const Error* error = GetError(compiled)) {
+      return *error;
+    }
+    schema = std::make_shared<const schema::Schema>(
+      TakeValue(std::move(compiled)).schema);
   }
   std::unique_ptr<Daemon> daemon(new Daemon(std::move(aOptions)));
-  daemon->m_schema = std::make_shared<const schema::Schema>(
-    TakeValue(std::move(compiled)).schema);
+  daemon->m_schema = std::move(schema);
   daemon->WireTraffic();
   if (auto error = daemon->WireOrders()) {
     return *error;
   }
+  if (auto error = daemon->WireControl()) {
+    return *error;
+  }
   daemon->Publish();
   if (auto error = daemon->Listen()) {
     return *error;
@@ -94,7 +111,9 @@
 Daemon::WireTraffic()
 {
   m_traffic.transport = std::make_unique<GrpcTransport>();
-  m_traffic.chooser = std::make_unique<PreferOwnChooser>();
+  auto chooser = std::make_unique<BalancingChooser>(m_link);
+  m_linkBytes = &chooser->Bytes();
+  m_traffic.chooser = std::move(chooser);
   m_traffic.events = this;
   m_traffic.counters.Observe(m_traffic.gate);
   m_traffic.progressBound = m_options.progressBound;
@@ -104,12 +123,19 @@
       settings.traceUrl, settings.name);
   }
   // Section 4.1 gives the order of the filters of each address. The
-  // quarantine and order filters are added here.
+  // order filter is added here.
+  m_quarantine = std::make_unique<QuarantineGuard>(
+    m_id, [this](std::vector<uint64_t> aInFlight, TimePoint aNow) {
+      OnOwnTargetLost(std::move(aInFlight), aNow);
+    });
+  m_traffic.quarantine = m_quarantine.get();
   for (size_t i = 0; i < kOriginCount; ++i) {
     filters::FilterChain& chain = m_traffic.chains[i];
     chain.Add(std::make_unique<filters::TraceFilter>(
       m_exporter.get(), settings.traceSamplePerMillion));
     chain.Add(std::make_unique<filters::DeadlineFilter>(m_options.returnTime));
+    chain.Add(
+      std::make_unique<QuarantineFilter>(*m_quarantine, m_traffic.snapshots));
     if (static_cast<filters::Origin>(i) == filters::Origin::kPeer) {
       continue;
     }
@@ -152,14 +178,15 @@
   const OrderServiceContext context{
     *m_orders, m_traffic.snapshots, m_channels, m_options.settings.peerAddress
   };
-  std::unique_ptr<grpc::Service> orders;
+  std::unique_ptr<grpc::Service> rpcs;
   if (aOrigin == filters::Origin::kPeer) {
-    orders = std::make_unique<PeerService>(context);
+    rpcs = std::make_unique<PeerService>(
+      context, m_control, *m_config, *m_summaries);
   } else {
-    orders = std::make_unique<CustomerService>(context);
+    rpcs = std::make_unique<CustomerService>(context);
   }
-  builder.RegisterService(orders.get());
-  m_orderServices.push_back(std::move(orders));
+  builder.RegisterService(rpcs.get());
+  m_rpcServices.push_back(std::move(rpcs));
   builder.SetMaxReceiveMessageSize(kMaxMessageBytes);
   // Another process on the same address must be noticed, not shared with.
   builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
@@ -186,6 +213,18 @@
     }
     m_servers.push_back(std::move(server));
   }
+  grpc::ServerBuilder admin;
+  int port = 0;
+  admin.AddListeningPort(
+    m_options.settings.adminAddress, grpc::InsecureServerCredentials(), &port);
+  admin.RegisterService(m_adminService.get());
+  admin.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
+  m_servers.push_back(admin.BuildAndStart());
+  if (port == 0) {
+    m_servers.pop_back();
+    return Error{ ErrorKind::kInternal,
+                  "cannot listen on " + m_options.settings.adminAddress };
+  }
   m_pages = std::make_unique<HttpPages>(MakeHandlers());
   return m_pages->Start(m_options.settings.httpAddress);
 }
@@ -203,7 +242,9 @@
 std::optional<Error>
 Daemon::OnAnnounce(Announcement aAnnouncement)
 {
-  if (!m_schema->FindService(aAnnouncement.service)) {
+  auto schema = m_traffic.snapshots.Load()->schema;
+  // Without a configuration the service cannot be checked.
+  if (schema && !schema->FindService(aAnnouncement.service)) {
     return Error{ ErrorKind::kUnknownMethod, aAnnouncement.service };
   }
   std::string host;
@@ -213,12 +254,7 @@
   }
   OnControl([&] {
     if (m_target.Announce(std::move(aAnnouncement), MonotonicNow())) {
-      m_traffic.gate.SetTarget(GateConfig(*m_schema, *m_target.Target()));
-      observability::Event("target_announced")
-        .Add("service", m_target.Target()->service)
-        .Add("address", m_target.Target()->address)
-        .Info();
-      Publish();
+      OnTargetChanged("announced");
     }
   });
   return std::nullopt;
@@ -232,7 +268,15 @@
     return OnAnnounce(std::move(aAnnouncement));
   };
   handlers.heartbeat = [this](double aLoad) -> std::optional<Error> {
-    if (OnControl([&] { return m_target.Heartbeat(aLoad, MonotonicNow()); })) {
+    bool known = OnControl([&] {
+      TimePoint now = MonotonicNow();
+      if (!m_target.Heartbeat(aLoad, now)) {
+        return false;
+      }
+      m_routing->Hint(m_target.Target()->service, m_id, aLoad, now);
+      return true;
+    });
+    if (known) {
       return std::nullopt;
     }
     return Error{ ErrorKind::kNotFound, "announce first" };
@@ -240,8 +284,7 @@
   handlers.drain = [this] {
     OnControl([&] {
       if (m_target.Drain()) {
-        observability::Event("target_draining").Info();
-        Publish();
+        OnTargetChanged("draining");
       }
     });
   };
@@ -249,9 +292,6 @@
   handlers.status = [this] {
     return OnControl([&] { return StatusDocument(); });
   };
-  handlers.self = [this] {
-    return OnControl([&] { return SelfDocument(Self()); });
-  };
   return handlers;
 }
 
--- a/wagtailbend/daemon/gated_attempt.cc
+++ b/wagtailbend/daemon/gated_attempt.cc
@@ -11,6 +11,15 @@
 namespace wagtailbend::daemon {
 namespace {
 
+// A connection that went silent or was never opened is no sign of a crash.
+bool
+IsConnectionLost(const AttemptEnd& aEnd)
+{
+  return aEnd.status.error_code() == grpc::StatusCode::UNAVAILABLE &&
+         aEnd.error.empty() && aEnd.ids.requestId.empty() && !aEnd.silent &&
+         !aEnd.unreachable;
+}
+
 class GatedAttempt final
   : public Attempt
   , public std::enable_shared_from_this<GatedAttempt>
@@ -20,12 +29,14 @@
   GatedAttempt(PeerTransport& aTransport,
                filters::AdmissionGate& aGate,
                attempts::RequestRegistry& aRegistry,
+               TargetWatch& aWatch,
                LocalRun aRun,
                AttemptRequest aRequest,
                AttemptObserver& aObserver)
     : m_transport(aTransport)
     , m_gate(aGate)
     , m_registry(aRegistry)
+    , m_watch(aWatch)
     , m_run(std::move(aRun))
     , m_request(std::move(aRequest))
     , m_observer(aObserver)
@@ -79,6 +90,7 @@
                      attempts::CallsOf(*m_run.schema, *m_run.method),
                      m_run.deadline,
                      m_run.priority);
+    m_watch.OnHandedOver(m_run.fingerprint);
     auto inner = m_transport.Prepare(std::move(m_request), *this);
     bool cancelled = false;
     {
@@ -132,6 +144,7 @@
   void OnEnd(const AttemptEnd& aEnd) override
   {
     auto self = std::move(m_self);
+    m_watch.OnReturned(m_run.fingerprint, IsConnectionLost(aEnd));
     const uint32_t unspent = m_registry.Finish(m_run.requestId);
     const std::string attemptsLeft = fmt::format_int(unspent).str();
     const std::string threshold = ThresholdText();
@@ -152,6 +165,7 @@
   PeerTransport& m_transport;
   filters::AdmissionGate& m_gate;
   attempts::RequestRegistry& m_registry;
+  TargetWatch& m_watch;
   LocalRun m_run;
   AttemptRequest m_request;
   AttemptObserver& m_observer;
@@ -171,6 +185,7 @@
 PrepareGated(PeerTransport& aTransport,
              filters::AdmissionGate& aGate,
              attempts::RequestRegistry& aRegistry,
+             TargetWatch& aWatch,
              LocalRun aRun,
              AttemptRequest aRequest,
              AttemptObserver& aObserver)
@@ -178,6 +193,7 @@
   return std::make_shared<GatedAttempt>(aTransport,
                                         aGate,
                                         aRegistry,
+                                        aWatch,
                                         std::move(aRun),
                                         std::move(aRequest),
                                         aObserver);
--- a/wagtailbend/daemon/order_services.h
+++ b/wagtailbend/daemon/order_services.h
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "wagtailbend/customer.grpc.pb.h"
+#include "wagtailbend/daemon/control_peer_service.h"
 #include "wagtailbend/daemon/order_parts.h"
 #include "wagtailbend/daemon/routing_snapshot.h"
 #include "wagtailbend/peer.grpc.pb.h"
@@ -52,12 +53,16 @@
   OrderServiceContext m_context;
 };
 
-/// Thread-safe.
-class PeerService final : public peer::Peer::CallbackService
+/// The whole Peer service. Thread-safe.
+class PeerService final : public ControlPeerService
 {
 public:
-  explicit PeerService(OrderServiceContext aContext)
-    : m_context(std::move(aContext))
+  PeerService(OrderServiceContext aContext,
+              asio::io_context& aControl,
+              ConfigRunner& aConfig,
+              SummaryController& aSummaries)
+    : ControlPeerService(aControl, aConfig, aSummaries)
+    , m_context(std::move(aContext))
   {
   }
 
--- a/wagtailbend/daemon/routing_snapshot.h
+++ b/wagtailbend/daemon/routing_snapshot.h
@@ -15,6 +15,7 @@
 #include "wagtailbend/attempts/hedge.h"
 #include "wagtailbend/base/ids.h"
 #include "wagtailbend/daemon/channel_pool.h"
+#include "wagtailbend/routing/balancer.h"
 #include "wagtailbend/schema/schema.h"
 
 namespace wagtailbend::daemon {
@@ -28,6 +29,9 @@
   /// peer address of its daemon.
   std::shared_ptr<PeerLink> link;
   bool own = false;
+  /// Statistics of the target; null without a balancer.
+  std::shared_ptr<routing::Balancer> balancer{};
+  std::shared_ptr<const routing::Target> target{};
 };
 
 /// Immutable after publication.
@@ -43,6 +47,9 @@
   std::map<std::string, std::vector<Destination>, std::less<>> peers;
   /// Peer addresses of all daemons that are alive, with or without a target.
   std::map<DaemonId, std::shared_ptr<PeerLink>> daemons;
+  /// Choose among the own target and the peers, by service.
+  std::map<std::string, std::shared_ptr<routing::Balancer>, std::less<>>
+    balancers;
   /// New work is rejected.
   bool draining = false;
 };
--- a/wagtailbend/daemon/traffic.h
+++ b/wagtailbend/daemon/traffic.h
@@ -5,6 +5,7 @@
 #include <array>
 #include <atomic>
 #include <memory>
+#include <vector>
 
 #include "wagtailbend/admission/threshold_table.h"
 #include "wagtailbend/attempts/ratio_limiter.h"
@@ -14,6 +15,7 @@
 #include "wagtailbend/daemon/order_parts.h"
 #include "wagtailbend/daemon/peer_transport.h"
 #include "wagtailbend/daemon/policies.h"
+#include "wagtailbend/daemon/quarantine_guard.h"
 #include "wagtailbend/daemon/routing_snapshot.h"
 #include "wagtailbend/daemon/traffic_metrics.h"
 #include "wagtailbend/filters/filter.h"
@@ -50,6 +52,7 @@
   TrafficEvents* events = nullptr;
   /// Null: orders are passed on like other calls.
   OrderParts* orders = nullptr;
+  QuarantineGuard* quarantine = nullptr;
   Duration progressBound{};
   TrafficMetrics counters;
   /// Last, so that it is destroyed first.
