Test that the own target's gate also holds for its daemon's customers

Seen failing: with the gate for requests from peers only, 14 of 124 orders were answered and 4967 calls reached the target (bound 1808).

--- a/testing/traffic_test.cc
+++ b/testing/traffic_test.cc
@@ -91,9 +91,9 @@
   std::vector<std::thread> m_threads;
 };
 
-// Guards R2 and the goodput under overload: orders are rejected last, lookups
-// at the entry, and the target runs no more than it can.
-TEST(Traffic, OverloadRejectsLookupsAtTheEntryAndAnswersOrders)
+// Runs 3x overload of Settlements through the daemon aEntry.
+void
+RunOverload(size_t aEntry)
 {
   Deployment deployment("association",
                         { { "association.Settlements",
@@ -101,7 +101,7 @@
                           { "association.Payouts", {} },
                           { "association.Ledgers", {} } });
   ASSERT_TRUE(deployment.Start());
-  const std::string entry = deployment.At(1).customer;
+  const std::string entry = deployment.At(aEntry).customer;
   constexpr double kCapacity = 20 / 0.05;
   const auto start = std::chrono::steady_clock::now();
   PacedLoad lookups(entry, kLookup, 120, milliseconds(100));
@@ -136,6 +136,19 @@
   EXPECT_GT(static_cast<double>(calls), 0.7 * kCapacity * length.count());
 }
 
+// Guards R2 and the goodput under overload: orders are rejected last, lookups
+// at the entry, and the target runs no more than it can.
+TEST(Traffic, OverloadRejectsLookupsAtTheEntryAndAnswersOrders)
+{
+  RunOverload(1);
+}
+
+// Guards against customers of the target's own daemon who bypass its gate.
+TEST(Traffic, OverloadOfTheOwnTargetPassesTheSameGate)
+{
+  RunOverload(0);
+}
+
 // Guards R1 against retries that multiply over the hops of a chain.
 TEST(Traffic, FailingDeepestHopStaysWithinTheBudget)
 {
