--- a/testing/deployment.cc
+++ b/testing/deployment.cc
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr auto kStartLimit = std::chrono::seconds(10);
+// Several requests fit into the deadline of an order.
+constexpr int kPlatformTimeoutMs = 300;
 
 } // namespace
 
@@ -59,6 +61,10 @@
         { "http", vm.http } } },
     { "schema_file", m_schema },
   };
+  if (m_platform) {
+    settings["platform"] = { { "url", "http://" + m_platformAddress },
+                             { "timeout_ms", kPlatformTimeoutMs } };
+  }
   if (!m_traceUrl.empty()) {
     settings["trace"] = { { "url", m_traceUrl },
                           { "sample_per_million", 1000000 } };
@@ -103,6 +109,15 @@
 bool
 Deployment::Start()
 {
+  if (m_usePlatform) {
+    m_platform = std::make_unique<Process>(std::vector<std::string>{
+      std::string(WB_BIN_DIR) + "/wagtail-fake-platform",
+      "--listen",
+      m_platformAddress });
+    if (!m_platform->WaitForLine("event=ready", kStartLimit)) {
+      return false;
+    }
+  }
   size_t targets = 0;
   for (size_t i = 0; i < m_vms.size(); ++i) {
     StartDaemon(i);
@@ -118,7 +133,7 @@
       return false;
     }
   }
-  return WaitForTargets(targets, kStartLimit);
+  return WaitForTargets(targets, kStartLimit) && WaitForPeers(kStartLimit);
 }
 
 std::string
@@ -157,6 +172,34 @@
   return reply && reply->status == 200;
 }
 
+// A daemon without a target is reached as the home of tickets, so that knowing
+// all targets does not suffice.
+bool
+Deployment::WaitForPeers(std::chrono::milliseconds aLimit)
+{
+  auto end = std::chrono::steady_clock::now() + aLimit;
+  for (size_t i = 0; i < m_vms.size();) {
+    auto status = nlohmann::json::parse(Page(i, "/status"), nullptr, false);
+    if (status.is_object() && status["peers"].size() + 1 == m_vms.size()) {
+      ++i;
+      continue;
+    }
+    if (std::chrono::steady_clock::now() > end) {
+      return false;
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  }
+  return true;
+}
+
+bool
+Deployment::SetPlatformFault(const std::string& aJson)
+{
+  httplib::Client client("http://" + m_platformAddress);
+  auto reply = client.Post("/v1/faults", aJson, "application/json");
+  return reply && reply->status / 100 == 2;
+}
+
 bool
 Deployment::WaitForTargets(size_t aCount, std::chrono::milliseconds aLimit)
 {
--- a/testing/deployment.h
+++ b/testing/deployment.h
@@ -45,9 +45,14 @@
   Deployment(const std::string& aSchema, std::vector<VmPlan> aPlans);
   ~Deployment();
 
-  /// Starts all processes and waits until every daemon knows every target.
+  /// Starts all processes and waits until every daemon knows every target and
+  /// every other daemon.
   /// Returns false after 20 s.
   bool Start();
+  /// Makes Start run a platform that all daemons use.
+  void UsePlatform() { m_usePlatform = true; }
+  /// Posts aJson to the fault switch of the platform. Returns false on failure.
+  bool SetPlatformFault(const std::string& aJson);
   /// Exports the spans of all requests to aUrl. Call before Start.
   void TraceTo(const std::string& aUrl) { m_traceUrl = aUrl; }
   Vm& At(size_t aIndex) { return m_vms[aIndex]; }
@@ -61,17 +66,22 @@
   std::string Page(size_t aIndex, const std::string& aPath);
   /// Waits until every running daemon sees aCount targets, its own included.
   bool WaitForTargets(size_t aCount, std::chrono::milliseconds aLimit);
+  /// Starts the daemon of a VM, again if it had ended.
+  void StartDaemon(size_t aIndex);
   /// Starts the target of a VM, again if it had ended.
   void StartTarget(size_t aIndex);
   const std::string& Folder() const { return m_folder; }
 
 private:
-  void StartDaemon(size_t aIndex);
+  bool WaitForPeers(std::chrono::milliseconds aLimit);
 
   std::string m_schema;
   std::string m_folder;
   std::string m_traceUrl;
   std::vector<Vm> m_vms;
+  bool m_usePlatform = false;
+  std::string m_platformAddress = FreeAddress();
+  std::unique_ptr<Process> m_platform;
 };
 
 } // namespace wagtailbend::testing
--- a/wagtailbend/daemon/bridge_end.cc
+++ b/wagtailbend/daemon/bridge_end.cc
@@ -39,7 +39,7 @@
 Bridge::ErrorOf(const AttemptEnd& aEnd, RunState& aRun)
 {
   aRun = RunState::kMayHaveRun;
-  if (m_cancelled.load()) {
+  if (Abandoned()) {
     aRun = RunStateFromName(aEnd.run).value_or(RunState::kMayHaveRun);
     return Error{ ErrorKind::kCancelled, "cancelled by the caller" };
   }
@@ -78,16 +78,23 @@
   RunState run = RunState::kRan;
   std::optional<Error> error = ErrorOf(aEnd, run);
   TimePoint now = MonotonicNow();
-  m_traffic.chooser->OnEnd(*m_destination,
-                           { error ? std::optional(error->kind) : std::nullopt,
-                             now - m_attemptStart,
-                             aEnd.threshold },
-                           now);
+  if (m_order.role != OrderRole::kRelay) {
+    m_traffic.chooser->OnEnd(
+      *m_destination,
+      { error ? std::optional(error->kind) : std::nullopt,
+        now - m_attemptStart,
+        aEnd.threshold },
+      now);
+  }
   LearnFrom(aEnd, !error, now);
   {
     std::lock_guard lock(m_attemptMutex);
     m_attempt.reset();
   }
+  if (m_order.grant) {
+    EndGrant(std::move(error), run, aEnd);
+    return;
+  }
   if (error) {
     FailAttempt(std::move(*error), run, aEnd);
     return;
@@ -95,19 +102,35 @@
   FinishComplete(aEnd);
 }
 
+// The caller has left and the attempt serves nobody else.
+bool
+Bridge::Abandoned() const
+{
+  return m_cancelled.load() && !m_detached.load();
+}
+
 void
-Bridge::FailAttempt(Error aError, RunState aRun, const AttemptEnd& aEnd)
+Bridge::NoteFailure(const Error& aError, const AttemptEnd& aEnd)
 {
   if (aError.kind == ErrorKind::kAnswerMismatch) {
     m_traffic.counters.mismatches.Add(1);
   }
   // A peer whose target has gone would cost each request sent to it a retry
   // until the control thread hears of it.
-  const bool gone = aEnd.unreachable || (aError.kind == ErrorKind::kNoTarget &&
-                                         !m_destination->own);
+  const bool gone = aEnd.unreachable ||
+                    (aError.kind == ErrorKind::kNoTarget &&
+                     !m_destination->own && m_order.role != OrderRole::kRelay);
   if (gone && m_traffic.events) {
     m_traffic.events->OnUnreachable(*m_destination);
   }
+}
+
+void
+Bridge::FailAttempt(Error aError, RunState aRun, const AttemptEnd& aEnd)
+{
+  NoteFailure(aError, aEnd);
+  // An executor or a home passes on what it was told.
+  m_order.settled = m_order.role != OrderRole::kNone;
   m_silenceSeen = m_silenceSeen || aEnd.silent;
   m_mayHaveRun = m_mayHaveRun || aRun != RunState::kNotRun;
   if (MayRetry(aError, aRun) && StartRetry(aError)) {
@@ -128,7 +151,8 @@
 Bridge::MayRetry(const Error& aError, RunState aRun) const
 {
   const schema::Method& method = *m_context.method;
-  if (m_context.origin == filters::Origin::kPeer || m_framePassedOn ||
+  if (m_order.role == OrderRole::kRelay ||
+      m_context.origin == filters::Origin::kPeer || m_framePassedOn ||
       m_cancelled.load() || !AnswerFor(aError.kind).retryable) {
     return false;
   }
@@ -144,6 +168,7 @@
                         RunState aRun,
                         const grpc::Status* aStatus)
 {
+  ConfirmRunState(aError, aRun);
   const ErrorAnswer& answer = AnswerFor(aError.kind);
   if (m_context.method && m_context.method->kind == schema::Kind::kOrder &&
       aRun == RunState::kNotRun) {
@@ -175,8 +200,12 @@
                                         std::string(aEnd.checksum));
   }
   if (m_context.origin == filters::Origin::kPeer) {
-    m_serverContext.AddTrailingMetadata(kAttemptsLeftKey,
-                                        std::string(aEnd.attemptsLeft));
+    // A home has paid for each grant from what the caller allotted.
+    m_serverContext.AddTrailingMetadata(
+      kAttemptsLeftKey,
+      m_context.relayed && m_order.role == OrderRole::kEntry
+        ? fmt::format_int(m_context.ledger->Remaining()).str()
+        : std::string(aEnd.attemptsLeft));
   }
   if (!m_threshold.empty()) {
     m_serverContext.AddTrailingMetadata(kThresholdKey, m_threshold);
--- a/wagtailbend/daemon/daemon.h
+++ b/wagtailbend/daemon/daemon.h
@@ -20,6 +20,8 @@
 #include "wagtailbend/daemon/hedging.h"
 #include "wagtailbend/daemon/http_pages.h"
 #include "wagtailbend/daemon/options.h"
+#include "wagtailbend/daemon/order_hand_over.h"
+#include "wagtailbend/daemon/order_parts.h"
 #include "wagtailbend/daemon/seed_directory.h"
 #include "wagtailbend/daemon/target_registry.h"
 #include "wagtailbend/daemon/traffic.h"
@@ -53,6 +55,7 @@
   std::unique_ptr<grpc::Server> ListenOn(const std::string& aAddress,
                                          filters::Origin aOrigin);
   void WireTraffic();
+  std::optional<Error> WireOrders();
   HttpHandlers MakeHandlers();
   std::optional<Error> OnAnnounce(Announcement aAnnouncement);
 
@@ -68,6 +71,7 @@
   void FetchSeeds();
   void BeginDrain();
   void CheckDrained();
+  std::vector<SuccessorCandidate> Successors();
   PeerState Self() const;
   std::string StatusDocument() const;
   std::string MetricsText() const;
@@ -76,6 +80,7 @@
   DaemonId m_id;
   std::shared_ptr<const schema::Schema> m_schema;
   ChannelPool m_channels{ KeepAlive{} };
+  std::unique_ptr<OrderParts> m_orders;
   // Outlives the trace filters in m_traffic. Null: spans are not exported.
   std::unique_ptr<observability::OtlpExporter> m_exporter;
   Traffic m_traffic;
@@ -93,9 +98,12 @@
   size_t m_fetchesPending = 0;
   bool m_draining = false;
   TimePoint m_drainDeadline;
+  TimePoint m_nextOrderExpiry;
+  std::unique_ptr<OrderHandOver> m_handOver;
   int m_exitStatus = 0;
 
   std::vector<std::unique_ptr<Service>> m_services;
+  std::vector<std::unique_ptr<grpc::Service>> m_orderServices;
   std::vector<std::unique_ptr<grpc::Server>> m_servers;
   std::unique_ptr<HttpPages> m_pages;
 };
--- a/wagtailbend/daemon/gated_attempt.cc
+++ b/wagtailbend/daemon/gated_attempt.cc
@@ -65,7 +65,13 @@
   {
     m_queueTime = aResult.queueTime;
     if (aResult.error) {
-      EndRejected(aResult);
+      const bool notRun =
+        !m_run.ticket || m_run.orders->RejectBeforeStart(*m_run.ticket);
+      EndRejected(aResult, notRun ? RunState::kNotRun : RunState::kMayHaveRun);
+      return;
+    }
+    if (m_run.ticket && !m_run.orders->Start(*m_run.ticket)) {
+      EndRefusedStart(aResult);
       return;
     }
     m_registry.Start(m_run.requestId,
@@ -86,7 +92,16 @@
     inner->Begin();
   }
 
-  void EndRejected(const filters::AdmissionResult& aResult)
+  // Another copy of the grant was started, or the home withdrew the grant.
+  void EndRefusedStart(filters::AdmissionResult aResult)
+  {
+    const auto entry = m_entry;
+    aResult.error = Error{ ErrorKind::kOutcomeUnknown, "grant is used up" };
+    EndRejected(aResult, RunState::kMayHaveRun);
+    entry->Leave(false, MonotonicNow());
+  }
+
+  void EndRejected(const filters::AdmissionResult& aResult, RunState aRun)
   {
     auto self = std::move(m_self);
     const std::string requestId = m_run.requestId.ToString();
@@ -100,7 +115,7 @@
     end.status = StatusOf(*aResult.error);
     end.ids = { requestId, attemptId };
     end.error = AnswerFor(aResult.error->kind).name;
-    end.run = RunStateName(RunState::kNotRun);
+    end.run = RunStateName(aRun);
     end.threshold = threshold;
     end.retryAfterMs = retryAfter;
     end.queueTime = m_queueTime;
--- a/wagtailbend/daemon/gated_attempt.h
+++ b/wagtailbend/daemon/gated_attempt.h
@@ -9,6 +9,7 @@
 
 #include "wagtailbend/attempts/registry.h"
 #include "wagtailbend/daemon/open_work.h"
+#include "wagtailbend/daemon/order_book.h"
 #include "wagtailbend/daemon/peer_transport.h"
 #include "wagtailbend/filters/filter.h"
 #include "wagtailbend/schema/schema.h"
@@ -30,6 +31,10 @@
   uint32_t budget = 0;
   /// Keeps the gate and the registry alive.
   OpenWork::Hold hold;
+  /// Set for an order, which was granted to this daemon: it is started in this
+  /// table directly before it is sent, or rejected there.
+  OrderBook* orders = nullptr;
+  std::optional<orders::Ticket> ticket = std::nullopt;
 };
 
 /// Returns an attempt that ends with the error kind and `not-run` if the gate
--- a/wagtailbend/daemon/traffic.h
+++ b/wagtailbend/daemon/traffic.h
@@ -11,6 +11,7 @@
 #include "wagtailbend/attempts/registry.h"
 #include "wagtailbend/daemon/ingress_gate.h"
 #include "wagtailbend/daemon/open_work.h"
+#include "wagtailbend/daemon/order_parts.h"
 #include "wagtailbend/daemon/peer_transport.h"
 #include "wagtailbend/daemon/policies.h"
 #include "wagtailbend/daemon/routing_snapshot.h"
@@ -47,6 +48,8 @@
                                      attempts::kRetryAllowance };
   std::unique_ptr<TargetChooser> chooser;
   TrafficEvents* events = nullptr;
+  /// Null: orders are passed on like other calls.
+  OrderParts* orders = nullptr;
   Duration progressBound{};
   TrafficMetrics counters;
   /// Last, so that it is destroyed first.
