Draw new tickets after a ticket ended as not run

Cause: the customer client resent an order with a ticket that its home had ended as not run, and kept tickets of homes that were gone, so a planned stop cost orders although other daemons served. Ruled out: a new ticket after any lost connection; the first one may have run. Change: the client drops the tickets of a daemon that left or is unreachable, and draws another ticket only after 'not run'; it can send idempotency keys.

--- a/testing/orders_fault_test.cc
+++ b/testing/orders_fault_test.cc
@@ -9,7 +9,9 @@
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
 
+#include "testing/fake_replies.h"
 #include "testing/order_world.h"
+#include "wagtailbend/client/customer_client.h"
 
 namespace wagtailbend::testing {
 namespace {
@@ -290,6 +292,40 @@
   EXPECT_TRUE(Complete(egress.Call(kOrder, "egress"), "egress"));
 }
 
+// A planned stop that costs customers orders although other daemons serve: the
+// client library draws tickets elsewhere.
+void
+StopHomeUnderClient(OrderWorld& aWorld)
+{
+  client::CustomerClient customer(
+    { aWorld->At(kEntry).customer, aWorld->At(kOther).customer }, 7);
+  constexpr int kOrders = 60;
+  std::vector<std::promise<client::CallResult>> results(kOrders);
+  for (int i = 0; i < kOrders; ++i) {
+    if (i == kOrders / 3) {
+      aWorld->At(kEntry).daemon->Signal(SIGTERM);
+    }
+    client::CallRequest request;
+    request.method = kOrder;
+    request.payload =
+      RequestFor(*FindMethod(kOrder), fmt::format("client-{}", i));
+    request.timeout = seconds(3);
+    request.order = true;
+    customer.Call(std::move(request),
+                  [&results, i](client::CallResult aResult) {
+                    results[i].set_value(std::move(aResult));
+                  });
+    std::this_thread::sleep_for(milliseconds(10));
+  }
+  for (int i = 0; i < kOrders; ++i) {
+    const client::CallResult result = results[i].get_future().get();
+    EXPECT_FALSE(result.error)
+      << i << ": " << result.error.value_or(Error{}).detail;
+    EXPECT_EQ(aWorld.Runs(fmt::format("client-{}", i)), 1U);
+  }
+  EXPECT_EQ(aWorld->At(kEntry).daemon->Wait(seconds(5)), 0);
+}
+
 struct FaultCase
 {
   const char* name;
@@ -313,17 +349,19 @@
 INSTANTIATE_TEST_SUITE_P(
   Orders,
   OrderFaults,
-  ::testing::Values(FaultCase{ "ResendTicket", ResendTicket, "200000" },
-                    FaultCase{ "KillHome", KillHome, "600000" },
-                    FaultCase{ "FreezeHome", FreezeHome, "600000" },
-                    FaultCase{ "KillTarget", KillTarget, "0" },
-                    FaultCase{ "KillTargetDaemon", KillTargetDaemon, "600000" },
-                    FaultCase{ "RawKeyTwice", SendRawKeyTwice, "20000", true },
-                    FaultCase{ "FailPlatform", FailPlatform, "0", true },
-                    FaultCase{ "LoseReply", LosePlatformReply, "0", true },
-                    FaultCase{ "StopHome", StopHome, "600000" },
-                    FaultCase{ "StopTargetDaemon", StopTargetDaemon, "600000" },
-                    FaultCase{ "RepeatGrant", RepeatGrant, "0" }),
+  ::testing::Values(
+    FaultCase{ "ResendTicket", ResendTicket, "200000" },
+    FaultCase{ "KillHome", KillHome, "600000" },
+    FaultCase{ "FreezeHome", FreezeHome, "600000" },
+    FaultCase{ "KillTarget", KillTarget, "0" },
+    FaultCase{ "KillTargetDaemon", KillTargetDaemon, "600000" },
+    FaultCase{ "RawKeyTwice", SendRawKeyTwice, "20000", true },
+    FaultCase{ "FailPlatform", FailPlatform, "0", true },
+    FaultCase{ "LoseReply", LosePlatformReply, "0", true },
+    FaultCase{ "StopHome", StopHome, "600000" },
+    FaultCase{ "StopTargetDaemon", StopTargetDaemon, "600000" },
+    FaultCase{ "StopHomeUnderClient", StopHomeUnderClient, "30000" },
+    FaultCase{ "RepeatGrant", RepeatGrant, "0" }),
   [](const auto& aInfo) { return std::string(aInfo.param.name); });
 
 } // namespace
--- a/wagtailbend/client/customer_client.cc
+++ b/wagtailbend/client/customer_client.cc
@@ -78,7 +78,10 @@
   const CallRequest& Request() const { return m_request; }
   size_t DaemonIndex() const { return m_daemon; }
   void SetDaemon(size_t aDaemon) { m_daemon = aDaemon; }
-  bool NeedsTicket() const { return m_request.order && m_ticket.empty(); }
+  bool NeedsTicket() const
+  {
+    return m_request.order && m_ticket.empty() && m_request.orderKey.empty();
+  }
   void SetTicket(std::string aTicket) { m_ticket = std::move(aTicket); }
 
   void Send(grpc::Channel& aChannel, RequestId aRequestId, AttemptId aAttempt)
@@ -91,7 +94,16 @@
   void Finish(CallResult aResult)
   {
     ++m_tries;
+    if (aResult.error && (aResult.error->kind == ErrorKind::kConnectionLost ||
+                          aResult.error->kind == ErrorKind::kDraining)) {
+      // Its home is gone or leaving.
+      m_client.DropTickets(m_daemon);
+    }
     if (MayResend(aResult)) {
+      // Not run is final for a ticket; the order needs another one.
+      if (aResult.runState == RunState::kNotRun) {
+        m_ticket = m_request.ticket;
+      }
       m_excluded = m_daemon;
       m_daemon = m_client.PickDaemon(m_excluded);
       m_client.Dispatch(shared_from_this());
@@ -124,6 +136,10 @@
       if (!m_owner->m_ticket.empty()) {
         m_context.AddMetadata(daemon::kTicketKey, m_owner->m_ticket);
       }
+      if (!m_owner->m_request.orderKey.empty()) {
+        m_context.AddMetadata(daemon::kOrderKeyKey,
+                              m_owner->m_request.orderKey);
+      }
       m_context.set_deadline(m_owner->m_systemDeadline);
       const grpc::Slice slice(m_owner->m_request.payload);
       m_payload = grpc::ByteBuffer(&slice, 1);
@@ -275,17 +291,6 @@
   return promise.get_future().get();
 }
 
-size_t
-CustomerClient::PickDaemon(std::optional<size_t> aExcluded)
-{
-  const std::lock_guard lock(m_mutex);
-  const size_t count = m_daemons.size();
-  if (!aExcluded || count == 1) {
-    return UniformBelow(m_rng, count);
-  }
-  return (*aExcluded + 1 + UniformBelow(m_rng, count - 1)) % count;
-}
-
 void
 CustomerClient::Dispatch(const std::shared_ptr<Pending>& aPending)
 {
@@ -374,25 +379,6 @@
     });
 }
 
-std::optional<RunState>
-CustomerClient::LookupOrder(size_t aDaemon,
-                            const std::string& aTicket,
-                            Duration aTimeout)
-{
-  grpc::ClientContext context;
-  context.set_deadline(
-    std::chrono::system_clock::now() +
-    std::chrono::duration_cast<std::chrono::system_clock::duration>(aTimeout));
-  customer::LookupOrderRequest request;
-  request.set_ticket(aTicket);
-  customer::LookupOrderReply reply;
-  auto stub = customer::Customer::NewStub(m_daemons[aDaemon].channel);
-  if (!stub->LookupOrder(&context, request, &reply).ok()) {
-    return std::nullopt;
-  }
-  return RunStateFromName(reply.run());
-}
-
 void
 CustomerClient::Finished()
 {
--- a/wagtailbend/client/customer_client.h
+++ b/wagtailbend/client/customer_client.h
@@ -42,6 +42,8 @@
   std::optional<size_t> daemon;
   /// Repeats an earlier order; empty: a new ticket is drawn.
   std::string ticket;
+  /// Idempotency key that an order carries in place of a ticket.
+  std::string orderKey;
 };
 
 struct CallResult
@@ -71,7 +73,8 @@
 
   /// Starts a call. aDone runs exactly once. A call that a daemon rejected as
   /// "not run" because it was leaving or could not be reached is sent once more
-  /// to another daemon; an order keeps its ticket, so it cannot run twice.
+  /// to another daemon; an order keeps its
+  /// ticket, so it cannot run twice, unless the ticket ended as not run.
   void Call(CallRequest aRequest, Callback aDone);
 
   /// Calls and waits for the result.
@@ -99,6 +102,8 @@
   size_t PickDaemon(std::optional<size_t> aExcluded);
   void Dispatch(const std::shared_ptr<Pending>& aPending);
   void DrawTickets(size_t aDaemon);
+  /// Forgets unused tickets of a daemon that cannot dispatch them any more.
+  void DropTickets(size_t aDaemon);
   void Finished();
 
   std::mutex m_mutex;
