Reserve the calls of the order tests

Cause: a linter finding. Ruled out: nothing else. Change: reserve() before the loops. Measured before and after: one finding, none. Conclusion: clean.

--- a/testing/orders_fault_test.cc
+++ b/testing/orders_fault_test.cc
@@ -138,6 +138,7 @@
   // Enough that some are held by the daemon that is killed.
   constexpr int kOrders = 12;
   std::vector<std::future<CallRecord>> calls;
+  calls.reserve(2 * kOrders);
   for (int i = 0; i < kOrders; ++i) {
     calls.push_back(
       aWorld.Async(kEntry, fmt::format("held-{}", i), aWorld.Draw(kEntry)));
@@ -251,6 +252,7 @@
 StopTargetDaemon(OrderWorld& aWorld)
 {
   std::vector<std::future<CallRecord>> calls;
+  calls.reserve(12);
   for (int i = 0; i < 12; ++i) {
     if (i == 6) {
       ASSERT_TRUE(aWorld.WaitForRun("order-5"));
