--- a/testing/deployment.cc
+++ b/testing/deployment.cc
@@ -65,6 +65,10 @@
     settings["platform"] = { { "url", "http://" + m_platformAddress },
                              { "timeout_ms", kPlatformTimeoutMs } };
   }
+  if (!m_traceUrl.empty()) {
+    settings["trace"] = { { "url", m_traceUrl },
+                          { "sample_per_million", 1000000 } };
+  }
   std::string file = m_folder + "/" + vm.name + ".json";
   std::ofstream(file) << settings.dump();
   std::vector<std::string> command = { std::string(WB_BIN_DIR) + "/wagtaild",
--- a/wagtailbend/daemon/bridge_attempts.cc
+++ b/wagtailbend/daemon/bridge_attempts.cc
@@ -83,7 +83,7 @@
     m_context.ledger->CancelUnsent(*grant);
     return false;
   }
-  m_traffic.counters.retries.fetch_add(1, std::memory_order_relaxed);
+  m_traffic.counters.retries.Add(1);
   Send(*grant);
   return true;
 }
@@ -97,8 +97,8 @@
   const std::optional<Duration> delay = HedgeDelay();
   std::shared_ptr<Attempt> attempt;
   if (delay) {
-    const DropLeg drop = [&traffic = m_traffic](const HedgeLeg& aLeg,
-                                                ErrorKind aError) {
+    const DropLeg drop = [&traffic = m_traffic, hold = m_traffic.open.Enter()](
+                           const HedgeLeg& aLeg, ErrorKind aError) {
       const TimePoint now = MonotonicNow();
       traffic.chooser->OnEnd(
         *aLeg.destination, { aError, now - aLeg.start, {} }, now);
@@ -132,7 +132,7 @@
   };
   m_tried.push_back(aDestination.daemon);
   ++m_context.attemptsStarted;
-  m_traffic.counters.attempts.fetch_add(1, std::memory_order_relaxed);
+  m_traffic.counters.attempts.Add(1);
   if (m_order.role != OrderRole::kRelay) {
     m_traffic.chooser->OnStart(aDestination, aNow);
   }
@@ -166,7 +166,7 @@
   if (!grant) {
     return std::nullopt;
   }
-  m_traffic.counters.hedges.fetch_add(1, std::memory_order_relaxed);
+  m_traffic.counters.hedges.Add(1);
   return StartLeg(*other, *grant, aNow);
 }
 
@@ -198,9 +198,11 @@
   if (!aLeg.destination->own) {
     return m_traffic.transport->Prepare(std::move(request), aObserver);
   }
-  LocalRun run{ m_schema,         m_context.method,      m_context.requestId,
-                aLeg.attemptId,   m_context.deadline,    m_context.priority,
-                m_context.nested, aLeg.grant.childBudget };
+  LocalRun run{
+    m_schema,         m_context.method,       m_context.requestId,
+    aLeg.attemptId,   m_context.deadline,     m_context.priority,
+    m_context.nested, aLeg.grant.childBudget, m_traffic.open.Enter()
+  };
   if (m_order.role != OrderRole::kNone) {
     run.orders = &m_traffic.orders->book;
     run.ticket = m_order.ticket;
--- a/wagtailbend/daemon/bridge_end.cc
+++ b/wagtailbend/daemon/bridge_end.cc
@@ -6,6 +6,7 @@
 
 #include "wagtailbend/daemon/bridge.h"
 #include "wagtailbend/daemon/metadata.h"
+#include "wagtailbend/observability/event_log.h"
 
 namespace wagtailbend::daemon {
 namespace {
@@ -112,7 +113,7 @@
 Bridge::NoteFailure(const Error& aError, const AttemptEnd& aEnd)
 {
   if (aError.kind == ErrorKind::kAnswerMismatch) {
-    m_traffic.counters.mismatches.fetch_add(1, std::memory_order_relaxed);
+    m_traffic.counters.mismatches.Add(1);
   }
   // A peer whose target has gone would cost each request sent to it a retry
   // until the control thread hears of it.
@@ -169,8 +170,15 @@
 {
   ConfirmRunState(aError, aRun);
   const ErrorAnswer& answer = AnswerFor(aError.kind);
-  m_traffic.counters.errors[static_cast<size_t>(aError.kind)].fetch_add(
-    1, std::memory_order_relaxed);
+  if (m_context.method && m_context.method->kind == schema::Kind::kOrder &&
+      aRun == RunState::kNotRun) {
+    observability::Event("order_rejected")
+      .Add("request", m_context.requestId.ToString())
+      .Add("method", m_context.method->path)
+      .Add("reason", answer.name)
+      .Add("detail", aError.detail)
+      .Info();
+  }
   grpc::Status status = aStatus ? *aStatus : StatusOf(aError);
   m_serverContext.AddTrailingMetadata(kRequestIdKey,
                                       m_context.requestId.ToString());
@@ -186,7 +194,6 @@
 void
 Bridge::FinishComplete(const AttemptEnd& aEnd)
 {
-  m_traffic.counters.completed.fetch_add(1, std::memory_order_relaxed);
   if (m_context.method->serverStreaming) {
     m_serverContext.AddTrailingMetadata(kFramesKey, std::string(aEnd.frames));
     m_serverContext.AddTrailingMetadata(kChecksumKey,
@@ -216,6 +223,7 @@
 Bridge::Leave(const filters::Outcome& aOutcome)
 {
   TimePoint now = MonotonicNow();
+  m_traffic.counters.OnEnd(m_context, aOutcome, now);
   auto& chain = m_traffic.chains[static_cast<size_t>(m_context.origin)];
   chain.OnResponse(m_context, aOutcome, now, m_filtersEntered);
 }
--- a/wagtailbend/daemon/traffic.h
+++ b/wagtailbend/daemon/traffic.h
@@ -10,38 +10,16 @@
 #include "wagtailbend/attempts/ratio_limiter.h"
 #include "wagtailbend/attempts/registry.h"
 #include "wagtailbend/daemon/ingress_gate.h"
+#include "wagtailbend/daemon/open_work.h"
 #include "wagtailbend/daemon/order_parts.h"
 #include "wagtailbend/daemon/peer_transport.h"
 #include "wagtailbend/daemon/policies.h"
 #include "wagtailbend/daemon/routing_snapshot.h"
+#include "wagtailbend/daemon/traffic_metrics.h"
 #include "wagtailbend/filters/filter.h"
 
 namespace wagtailbend::daemon {
 
-inline constexpr size_t kOriginCount = 3;
-
-/// Counters of the request path, read by the metrics page.
-struct TrafficCounters
-{
-  std::array<std::atomic<int64_t>, kOriginCount> inFlight{};
-  std::array<std::atomic<uint64_t>, kOriginCount> requests{};
-  std::atomic<uint64_t> completed{ 0 };
-  std::atomic<uint64_t> attempts{ 0 };
-  std::atomic<uint64_t> retries{ 0 };
-  std::atomic<uint64_t> hedges{ 0 };
-  std::atomic<uint64_t> mismatches{ 0 };
-  std::array<std::atomic<uint64_t>, kErrorKindCount> errors{};
-
-  int64_t InFlight() const
-  {
-    int64_t sum = 0;
-    for (const auto& count : inFlight) {
-      sum += count.load();
-    }
-    return sum;
-  }
-};
-
 /// Tells the control thread what the traffic threads observe. Thread-safe,
 /// must not block.
 class TrafficEvents
@@ -73,7 +51,9 @@
   /// Null: orders are passed on like other calls.
   OrderParts* orders = nullptr;
   Duration progressBound{};
-  TrafficCounters counters;
+  TrafficMetrics counters;
+  /// Last, so that it is destroyed first.
+  OpenWork open;
 };
 
 } // namespace wagtailbend::daemon
