--- a/wagtailbend/daemon/order_book.h
+++ b/wagtailbend/daemon/order_book.h
@@ -23,7 +23,9 @@
 /// Thread-safe. One lock guards the home table and the callers who wait for
 /// the end of an order, another the executor table. Critical sections do no
 /// I/O and call nobody back; no method takes both locks. Orders are the only
-/// requests that take them.
+/// requests that take them. The control thread does not own the tables, because
+/// each order passes them four times; order_path_bench sends 11,000 orders/s
+/// through one daemon from 16 callers.
 class OrderBook
 {
 public:
