Dispatch relayed orders at their home as at the entry

Ruled out: a missing address of the home (the relay arrived). Change: the chooser looks at whether the order was relayed.

--- a/wagtailbend/daemon/balancing_chooser.cc
+++ b/wagtailbend/daemon/balancing_chooser.cc
@@ -74,7 +74,9 @@
                          Rng& aRng)
 {
   const schema::Method& method = *aContext.method;
-  bool fromPeer = aContext.origin == filters::Origin::kPeer;
+  // An order relayed to its home is dispatched as at the entry.
+  bool fromPeer =
+    aContext.origin == filters::Origin::kPeer && !aContext.relayed;
   const Destination* own =
     aSnapshot.ownTarget && aSnapshot.ownService == method.service
       ? &*aSnapshot.ownTarget
