--- a/testing/deployment.cc
+++ b/testing/deployment.cc
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr auto kStartLimit = std::chrono::seconds(10);
+// Several requests fit into the deadline of an order.
+constexpr int kPlatformTimeoutMs = 300;
 
 } // namespace
 
@@ -75,6 +77,14 @@
   if (!m_options.platformUrl.empty()) {
     settings["platform"] = { { "url", m_options.platformUrl } };
   }
+  if (m_platform) {
+    settings["platform"] = { { "url", "http://" + m_platformAddress },
+                             { "timeout_ms", kPlatformTimeoutMs } };
+  }
+  if (!m_traceUrl.empty()) {
+    settings["trace"] = { { "url", m_traceUrl },
+                          { "sample_per_million", 1000000 } };
+  }
   std::string file = m_folder + "/" + vm.name + ".json";
   std::ofstream(file) << settings.dump();
   std::vector<std::string> command = { std::string(WB_BIN_DIR) + "/wagtaild",
@@ -114,12 +124,22 @@
     std::count_if(m_vms.begin(), m_vms.end(), [](const Vm& aVm) {
       return !aVm.plan.service.empty();
     }));
-  return StartProcesses() && WaitForTargets(targets, kStartLimit);
+  return StartProcesses() && WaitForTargets(targets, kStartLimit) &&
+         WaitForPeers(kStartLimit);
 }
 
 bool
 Deployment::StartProcesses()
 {
+  if (m_usePlatform) {
+    m_platform = std::make_unique<Process>(std::vector<std::string>{
+      std::string(WB_BIN_DIR) + "/wagtail-fake-platform",
+      "--listen",
+      m_platformAddress });
+    if (!m_platform->WaitForLine("event=ready", kStartLimit)) {
+      return false;
+    }
+  }
   for (size_t i = 0; i < m_vms.size(); ++i) {
     StartDaemon(i);
     if (!m_vms[i].plan.service.empty()) {
@@ -172,6 +192,34 @@
   return reply && reply->status == 200;
 }
 
+// A daemon without a target is reached as the home of tickets, so that knowing
+// all targets does not suffice.
+bool
+Deployment::WaitForPeers(std::chrono::milliseconds aLimit)
+{
+  auto end = std::chrono::steady_clock::now() + aLimit;
+  for (size_t i = 0; i < m_vms.size();) {
+    auto status = nlohmann::json::parse(Page(i, "/status"), nullptr, false);
+    if (status.is_object() && status["peers"].size() + 1 == m_vms.size()) {
+      ++i;
+      continue;
+    }
+    if (std::chrono::steady_clock::now() > end) {
+      return false;
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  }
+  return true;
+}
+
+bool
+Deployment::SetPlatformFault(const std::string& aJson)
+{
+  httplib::Client client("http://" + m_platformAddress);
+  auto reply = client.Post("/v1/faults", aJson, "application/json");
+  return reply && reply->status / 100 == 2;
+}
+
 bool
 Deployment::WaitForTargets(size_t aCount, std::chrono::milliseconds aLimit)
 {
--- a/testing/deployment.h
+++ b/testing/deployment.h
@@ -61,13 +61,18 @@
              DeploymentOptions aOptions = {});
   ~Deployment();
 
-  /// Starts all processes and waits until every daemon knows every target.
+  /// Starts all processes and waits until every daemon knows every target and
+  /// every other daemon.
   /// Returns false after 20 s.
   bool Start();
   /// Starts all processes and waits until each is ready.
   bool StartProcesses();
-  /// Starts the daemon of a VM, again if it had ended.
-  void StartDaemon(size_t aIndex);
+  /// Makes Start run a platform that all daemons use.
+  void UsePlatform() { m_usePlatform = true; }
+  /// Posts aJson to the fault switch of the platform. Returns false on failure.
+  bool SetPlatformFault(const std::string& aJson);
+  /// Exports the spans of all requests to aUrl. Call before Start.
+  void TraceTo(const std::string& aUrl) { m_traceUrl = aUrl; }
   Vm& At(size_t aIndex) { return m_vms[aIndex]; }
   /// Posts aJson to the fault switch of the target. Returns false on failure.
   bool SetFault(size_t aIndex, const std::string& aJson);
@@ -79,16 +84,24 @@
   std::string Page(size_t aIndex, const std::string& aPath);
   /// Waits until every running daemon sees aCount targets, its own included.
   bool WaitForTargets(size_t aCount, std::chrono::milliseconds aLimit);
+  /// Starts the daemon of a VM, again if it had ended.
+  void StartDaemon(size_t aIndex);
   /// Starts the target of a VM, again if it had ended.
   void StartTarget(size_t aIndex);
   const std::string& SchemaFile() const { return m_schema; }
   const std::string& Folder() const { return m_folder; }
 
 private:
+  bool WaitForPeers(std::chrono::milliseconds aLimit);
+
   DeploymentOptions m_options;
   std::string m_schema;
   std::string m_folder;
+  std::string m_traceUrl;
   std::vector<Vm> m_vms;
+  bool m_usePlatform = false;
+  std::string m_platformAddress = FreeAddress();
+  std::unique_ptr<Process> m_platform;
 };
 
 } // namespace wagtailbend::testing
--- a/wagtailbend/daemon/balancing_chooser.cc
+++ b/wagtailbend/daemon/balancing_chooser.cc
@@ -74,7 +74,9 @@
                          Rng& aRng)
 {
   const schema::Method& method = *aContext.method;
-  bool fromPeer = aContext.origin == filters::Origin::kPeer;
+  // A home may send an order that a peer passed on to any target.
+  bool fromPeer =
+    aContext.origin == filters::Origin::kPeer && !aContext.relayed;
   const Destination* own =
     aSnapshot.ownTarget && aSnapshot.ownService == method.service
       ? &*aSnapshot.ownTarget
--- a/wagtailbend/daemon/bridge.cc
+++ b/wagtailbend/daemon/bridge.cc
@@ -26,14 +26,16 @@
   }
 }
 
+// Independent of how the payload is cut into slices: the same order may arrive
+// over connections that cut it differently.
 uint64_t
 HashOf(const grpc::ByteBuffer& aPayload)
 {
-  uint64_t hash = 0;
-  ForEachPart(aPayload, [&hash](std::string_view aPart) {
-    hash = XXH64(aPart.data(), aPart.size(), hash);
-  });
-  return hash;
+  grpc::Slice whole;
+  if (!aPayload.DumpToSingleSlice(&whole).ok()) {
+    return 0;
+  }
+  return XXH64(whole.begin(), whole.size(), 0);
 }
 
 TimePoint
@@ -61,9 +63,7 @@
   m_context.origin = aOrigin;
   m_context.arrival = MonotonicNow();
   m_context.deadline = DeadlineOf(aServerContext, m_context.arrival);
-  auto origin = static_cast<size_t>(aOrigin);
-  m_traffic.counters.inFlight[origin].fetch_add(1);
-  m_traffic.counters.requests[origin].fetch_add(1, std::memory_order_relaxed);
+  m_traffic.counters.OnArrival(aOrigin);
   ReadMetadata();
   StartRead(&m_request);
 }
@@ -128,8 +128,19 @@
     reject(ErrorKind::kUnknownMethod, "internal service");
     return;
   }
-  // The own target may still make the downstream calls of its running work.
-  if (m_snapshot->draining && m_context.origin != filters::Origin::kTarget) {
+  bool order =
+    m_traffic.orders && m_context.method->kind == schema::Kind::kOrder;
+  if (auto error = order ? OpenOrder() : std::nullopt) {
+    RejectOrder(std::move(*error));
+    return;
+  }
+  // The own target may still make the downstream calls of its running work. An
+  // order that this daemon is not to run may have run before: the table of its
+  // home decides.
+  bool decidedHere =
+    m_order.role == OrderRole::kNone || m_order.role == OrderRole::kExecutor;
+  if (m_snapshot->draining && m_context.origin != filters::Origin::kTarget &&
+      decidedHere) {
     reject(ErrorKind::kDraining, "this daemon is leaving");
     return;
   }
@@ -148,6 +159,10 @@
     FinishWithError(std::move(*error), run, nullptr);
     return;
   }
+  if (m_order.role == OrderRole::kEntry) {
+    BeginOrder();
+    return;
+  }
   StartFirst();
 }
 
@@ -178,10 +193,11 @@
                         fmt::format_int(aLeg.grant.childBudget).str());
   metadata.emplace_back(kPriorityKey,
                         fmt::format_int(m_context.priority).str());
-  if (!aLeg.destination->own) {
+  // Without it a daemon takes an order for one that it is the home of.
+  if (!aLeg.destination->own && m_order.role != OrderRole::kRelay) {
     metadata.emplace_back(kIncarnationKey,
                           ToHex(aLeg.destination->daemon.incarnation));
-    if (m_context.origin == filters::Origin::kPeer) {
+    if (EndsHere()) {
       metadata.emplace_back(kRelayedKey, "1");
     }
     // Tells the peer's gate that the call belongs to admitted work.
@@ -213,11 +229,18 @@
   constexpr int kEntryShare = 2;
   constexpr int kIngressShare = 3;
   Duration left = m_context.deadline - aStart;
-  bool ingress = m_context.origin == filters::Origin::kPeer;
+  bool ingress = EndsHere();
   return std::min(left / (ingress ? kIngressShare : kEntryShare),
                   m_traffic.progressBound);
 }
 
+// Returns true if the own target must run the request: a peer chose it.
+bool
+Bridge::EndsHere() const
+{
+  return m_context.origin == filters::Origin::kPeer && !m_context.relayed;
+}
+
 // Makes the attempt visible to OnCancel. Returns true if the caller has
 // cancelled already.
 bool
@@ -225,7 +248,7 @@
 {
   std::lock_guard lock(m_attemptMutex);
   m_attempt = aAttempt;
-  return m_cancelled.load();
+  return Abandoned();
 }
 
 void
@@ -237,7 +260,7 @@
     m_cancelled.store(true);
     attempt = m_attempt;
   }
-  if (attempt) {
+  if (attempt && Abandoned()) {
     attempt->Cancel();
   }
 }
@@ -264,7 +287,7 @@
     m_attemptError = m_verifier->OnFrame(aFrame.Length(), MonotonicNow());
   }
   bool streamed = m_context.method->serverStreaming;
-  if (m_attemptError || m_cancelled.load()) {
+  if (m_attemptError || Abandoned()) {
     // Frames of a rejected response are read and dropped until it ends.
     if (streamed) {
       m_attempt->Cancel();
--- a/wagtailbend/daemon/bridge.h
+++ b/wagtailbend/daemon/bridge.h
@@ -17,6 +17,7 @@
 #include <grpcpp/generic/async_generic_service.h>
 
 #include "wagtailbend/answers/response_verifier.h"
+#include "wagtailbend/daemon/bridge_order.h"
 #include "wagtailbend/daemon/hedging.h"
 #include "wagtailbend/daemon/traffic.h"
 
@@ -73,6 +74,25 @@
   void FinishComplete(const AttemptEnd& aEnd);
   void SendIds();
   void Leave(const filters::Outcome& aOutcome);
+  bool Abandoned() const;
+  void NoteFailure(const Error& aError, const AttemptEnd& aEnd);
+  bool EndsHere() const;
+
+  // Orders, in bridge_order.cc.
+  std::optional<Error> OpenOrder();
+  std::optional<Error> AcceptGrant(std::string_view aIncarnation);
+  void BeginOrder();
+  void ClaimKey();
+  void RelayOrder(const DaemonId& aHome, std::shared_ptr<PeerLink> aLink);
+  void ReplayOrder(const orders::StoredResponse& aResponse);
+  void RejectOrder(Error aError);
+  std::optional<Error> GrantOrder();
+  void EndGrant(std::optional<Error> aError,
+                RunState aRun,
+                const AttemptEnd& aEnd);
+  void AskNotStarted(Error aError);
+  void SettleGrant(Error aError, bool aNotStarted);
+  void ConfirmRunState(Error& aError, RunState& aRun);
 
   // Requests that crash targets, in bridge_quarantine.cc.
   void NoteLostTarget(const std::optional<Error>& aError,
@@ -112,11 +132,15 @@
   size_t m_targetsLost = 0;
   TimePoint m_lostAt;
   grpc::Alarm m_holdTimer;
+  OrderProgress m_order;
   // What the last attempt told about admission, passed on to the caller.
   std::string m_threshold;
   std::string m_retryAfter;
 
   std::atomic<bool> m_cancelled{ false };
+  // The attempt goes on without the caller. Set before the attempt is visible
+  // to OnCancel.
+  std::atomic<bool> m_detached{ false };
   // Guards m_attempt against OnCancel; never held while gRPC is called with
   // the chance of a callback on the same thread.
   std::mutex m_attemptMutex;
--- a/wagtailbend/daemon/bridge_attempts.cc
+++ b/wagtailbend/daemon/bridge_attempts.cc
@@ -26,7 +26,7 @@
       { ErrorKind::kNoTarget, method.service }, RunState::kNotRun, nullptr);
     return;
   }
-  if (m_context.origin == Origin::kPeer) {
+  if (EndsHere()) {
     // The caller has paid for this attempt and the calls below it.
     Send({ m_allotted.value_or(method.minimumAttempts - 1), 0 });
     return;
@@ -39,6 +39,11 @@
       { ErrorKind::kAttemptsExhausted, "" }, RunState::kNotRun, nullptr);
     return;
   }
+  if (auto error = GrantOrder()) {
+    const RunState run = AnswerFor(error->kind).runState;
+    FinishWithError(std::move(*error), run, nullptr);
+    return;
+  }
   Send(*grant);
 }
 
@@ -58,8 +63,10 @@
   const bool tried =
     std::find(m_tried.begin(), m_tried.end(), next->daemon) != m_tried.end();
   // A target that rejects work would reject the same request again.
+  // A daemon that rejected an order holds a tombstone and never runs it.
   if (tried && (aError.kind == ErrorKind::kOverloaded ||
-                aError.kind == ErrorKind::kDraining)) {
+                aError.kind == ErrorKind::kDraining ||
+                m_order.role != OrderRole::kNone)) {
     return false;
   }
   auto grant =
@@ -71,8 +78,12 @@
     m_context.ledger->CancelUnsent(*grant);
     return false;
   }
-  m_traffic.counters.retries.fetch_add(1, std::memory_order_relaxed);
   m_destination = next;
+  if (GrantOrder()) {
+    m_context.ledger->CancelUnsent(*grant);
+    return false;
+  }
+  m_traffic.counters.retries.Add(1);
   Send(*grant);
   return true;
 }
@@ -86,8 +97,8 @@
   const std::optional<Duration> delay = HedgeDelay();
   std::shared_ptr<Attempt> attempt;
   if (delay) {
-    const DropLeg drop = [&traffic = m_traffic](const HedgeLeg& aLeg,
-                                                ErrorKind aError) {
+    const DropLeg drop = [&traffic = m_traffic, hold = m_traffic.open.Enter()](
+                           const HedgeLeg& aLeg, ErrorKind aError) {
       const TimePoint now = MonotonicNow();
       traffic.chooser->OnEnd(
         *aLeg.destination, { aError, now - aLeg.start, {} }, now);
@@ -112,9 +123,8 @@
   HedgeLeg leg;
   leg.snapshot = m_snapshot;
   leg.destination = &aDestination;
-  leg.attemptId = m_context.origin == Origin::kPeer
-                    ? m_context.attemptId
-                    : AttemptId::Random(ThreadRng());
+  leg.attemptId =
+    EndsHere() ? m_context.attemptId : AttemptId::Random(ThreadRng());
   leg.grant = aGrant;
   leg.start = aNow;
   leg.prepare = [this, prepared = leg](AttemptObserver& aObserver) {
@@ -122,8 +132,10 @@
   };
   m_tried.push_back(aDestination.daemon);
   ++m_context.attemptsStarted;
-  m_traffic.counters.attempts.fetch_add(1, std::memory_order_relaxed);
-  m_traffic.chooser->OnStart(aDestination, aNow);
+  m_traffic.counters.attempts.Add(1);
+  if (m_order.role != OrderRole::kRelay) {
+    m_traffic.chooser->OnStart(aDestination, aNow);
+  }
   return leg;
 }
 
@@ -154,7 +166,7 @@
   if (!grant) {
     return std::nullopt;
   }
-  m_traffic.counters.hedges.fetch_add(1, std::memory_order_relaxed);
+  m_traffic.counters.hedges.Add(1);
   return StartLeg(*other, *grant, aNow);
 }
 
@@ -186,11 +198,20 @@
   if (!aLeg.destination->own) {
     return m_traffic.transport->Prepare(std::move(request), aObserver);
   }
-  LocalRun run{
-    m_schema,         m_context.method,       m_context.requestId,
-    aLeg.attemptId,   m_context.deadline,     m_context.priority,
-    m_context.nested, aLeg.grant.childBudget, m_context.fingerprint
-  };
+  LocalRun run{ m_schema,
+                m_context.method,
+                m_context.requestId,
+                aLeg.attemptId,
+                m_context.deadline,
+                m_context.priority,
+                m_context.nested,
+                aLeg.grant.childBudget,
+                m_context.fingerprint,
+                m_traffic.open.Enter() };
+  if (m_order.role != OrderRole::kNone) {
+    run.orders = &m_traffic.orders->book;
+    run.ticket = m_order.ticket;
+  }
   return PrepareGated(*m_traffic.transport,
                       m_traffic.gate,
                       m_traffic.registry,
@@ -207,7 +228,14 @@
   m_context.queueTime += aEnd.queueTime;
   m_threshold = aEnd.threshold;
   m_retryAfter = aEnd.retryAfterMs;
-  if (m_context.origin == Origin::kPeer) {
+  if (EndsHere()) {
+    return;
+  }
+  if (m_order.role == OrderRole::kRelay) {
+    if (aComplete) {
+      m_context.ledger->CompleteInFull(m_grant,
+                                       ParseNumber(aEnd.attemptsLeft, 0));
+    }
     return;
   }
   if (auto threshold = admission::ParseThreshold(aEnd.threshold)) {
--- a/wagtailbend/daemon/bridge_end.cc
+++ b/wagtailbend/daemon/bridge_end.cc
@@ -6,6 +6,7 @@
 
 #include "wagtailbend/daemon/bridge.h"
 #include "wagtailbend/daemon/metadata.h"
+#include "wagtailbend/observability/event_log.h"
 
 namespace wagtailbend::daemon {
 namespace {
@@ -38,7 +39,7 @@
 Bridge::ErrorOf(const AttemptEnd& aEnd, RunState& aRun)
 {
   aRun = RunState::kMayHaveRun;
-  if (m_cancelled.load()) {
+  if (Abandoned()) {
     aRun = RunStateFromName(aEnd.run).value_or(RunState::kMayHaveRun);
     return Error{ ErrorKind::kCancelled, "cancelled by the caller" };
   }
@@ -78,19 +79,26 @@
   std::optional<Error> error = ErrorOf(aEnd, run);
   TimePoint now = MonotonicNow();
   NoteLostTarget(error, aEnd);
-  m_traffic.chooser->OnEnd(*m_destination,
-                           { error ? std::optional(error->kind) : std::nullopt,
-                             now - m_attemptStart,
-                             aEnd.threshold,
-                             m_context.requestBytes,
-                             m_responseBytes,
-                             m_context.method->serverStreaming },
-                           now);
+  if (m_order.role != OrderRole::kRelay) {
+    m_traffic.chooser->OnEnd(
+      *m_destination,
+      { error ? std::optional(error->kind) : std::nullopt,
+        now - m_attemptStart,
+        aEnd.threshold,
+        m_context.requestBytes,
+        m_responseBytes,
+        m_context.method->serverStreaming },
+      now);
+  }
   LearnFrom(aEnd, !error, now);
   {
     std::lock_guard lock(m_attemptMutex);
     m_attempt.reset();
   }
+  if (m_order.grant) {
+    EndGrant(std::move(error), run, aEnd);
+    return;
+  }
   if (error) {
     FailAttempt(std::move(*error), run, aEnd);
     return;
@@ -98,19 +106,36 @@
   FinishComplete(aEnd);
 }
 
+// The caller has left and the attempt serves nobody else.
+bool
+Bridge::Abandoned() const
+{
+  return m_cancelled.load() && !m_detached.load();
+}
+
 void
-Bridge::FailAttempt(Error aError, RunState aRun, const AttemptEnd& aEnd)
+Bridge::NoteFailure(const Error& aError, const AttemptEnd& aEnd)
 {
   if (aError.kind == ErrorKind::kAnswerMismatch) {
-    m_traffic.counters.mismatches.fetch_add(1, std::memory_order_relaxed);
+    m_traffic.counters.mismatches.Add(1);
   }
   // A peer whose target has gone would cost each request sent to it a retry
   // until the control thread hears of it.
-  const bool gone = aEnd.unreachable || (aError.kind == ErrorKind::kNoTarget &&
-                                         !m_destination->own);
+  const bool gone = aEnd.unreachable ||
+                    (!m_destination->own && m_order.role != OrderRole::kRelay &&
+                     (aError.kind == ErrorKind::kNoTarget ||
+                      aError.kind == ErrorKind::kDraining));
   if (gone && m_traffic.events) {
     m_traffic.events->OnUnreachable(*m_destination);
   }
+}
+
+void
+Bridge::FailAttempt(Error aError, RunState aRun, const AttemptEnd& aEnd)
+{
+  NoteFailure(aError, aEnd);
+  // An executor or a home passes on what it was told.
+  m_order.settled = m_order.role != OrderRole::kNone;
   m_silenceSeen = m_silenceSeen || aEnd.silent;
   m_mayHaveRun = m_mayHaveRun || aRun != RunState::kNotRun;
   if (MayRetry(aError, aRun) && StartRetry(aError)) {
@@ -136,7 +161,8 @@
 Bridge::MayRetry(const Error& aError, RunState aRun) const
 {
   const schema::Method& method = *m_context.method;
-  if (m_context.origin == filters::Origin::kPeer || m_framePassedOn ||
+  if (m_order.role == OrderRole::kRelay ||
+      m_context.origin == filters::Origin::kPeer || m_framePassedOn ||
       m_cancelled.load() || !AnswerFor(aError.kind).retryable ||
       m_targetsLost >= quarantine::kMaxLosses) {
     return false;
@@ -153,9 +179,17 @@
                         RunState aRun,
                         const grpc::Status* aStatus)
 {
+  ConfirmRunState(aError, aRun);
   const ErrorAnswer& answer = AnswerFor(aError.kind);
-  m_traffic.counters.errors[static_cast<size_t>(aError.kind)].fetch_add(
-    1, std::memory_order_relaxed);
+  if (m_context.method && m_context.method->kind == schema::Kind::kOrder &&
+      aRun == RunState::kNotRun) {
+    observability::Event("order_rejected")
+      .Add("request", m_context.requestId.ToString())
+      .Add("method", m_context.method->path)
+      .Add("reason", answer.name)
+      .Add("detail", aError.detail)
+      .Info();
+  }
   grpc::Status status = aStatus ? *aStatus : StatusOf(aError);
   m_serverContext.AddTrailingMetadata(kRequestIdKey,
                                       m_context.requestId.ToString());
@@ -171,15 +205,18 @@
 void
 Bridge::FinishComplete(const AttemptEnd& aEnd)
 {
-  m_traffic.counters.completed.fetch_add(1, std::memory_order_relaxed);
   if (m_context.method->serverStreaming) {
     m_serverContext.AddTrailingMetadata(kFramesKey, std::string(aEnd.frames));
     m_serverContext.AddTrailingMetadata(kChecksumKey,
                                         std::string(aEnd.checksum));
   }
   if (m_context.origin == filters::Origin::kPeer) {
-    m_serverContext.AddTrailingMetadata(kAttemptsLeftKey,
-                                        std::string(aEnd.attemptsLeft));
+    // A home has paid for each grant from what the caller allotted.
+    m_serverContext.AddTrailingMetadata(
+      kAttemptsLeftKey,
+      m_context.relayed && m_order.role == OrderRole::kEntry
+        ? fmt::format_int(m_context.ledger->Remaining()).str()
+        : std::string(aEnd.attemptsLeft));
   }
   if (!m_threshold.empty()) {
     m_serverContext.AddTrailingMetadata(kThresholdKey, m_threshold);
@@ -197,6 +234,7 @@
 Bridge::Leave(const filters::Outcome& aOutcome)
 {
   TimePoint now = MonotonicNow();
+  m_traffic.counters.OnEnd(m_context, aOutcome, now);
   auto& chain = m_traffic.chains[static_cast<size_t>(m_context.origin)];
   chain.OnResponse(m_context, aOutcome, now, m_filtersEntered);
 }
--- a/wagtailbend/daemon/control.cc
+++ b/wagtailbend/daemon/control.cc
@@ -17,6 +17,8 @@
 constexpr Duration kDrainCheckInterval = std::chrono::milliseconds(20);
 // Time in which the news that this daemon left spreads.
 constexpr Duration kLeaveTime = std::chrono::seconds(1);
+// Late expiry of orders costs only memory.
+constexpr Duration kOrderExpiryInterval = std::chrono::seconds(1);
 
 } // namespace
 
@@ -46,6 +48,11 @@
   snapshot->hedges = m_hedges.For(m_schema);
   snapshot->draining = m_draining;
   const std::vector<membership::DomainSummary> summaries = m_summaries->All();
+  for (const membership::Member& member : m_membership->Members()) {
+    if (member.id != m_id && IsLive(member)) {
+      snapshot->daemons[member.id] = m_channels.Link(member.peerAddress);
+    }
+  }
   m_routing->Fill({ .target = m_target,
                     .self = m_membership->Self(),
                     .members = m_membership->Members(),
@@ -68,6 +75,13 @@
   if (m_routing->Expire(now)) {
     Publish();
   }
+  if (m_orders->claims) {
+    m_orders->claims->Expire(now);
+  }
+  if (now >= m_nextOrderExpiry) {
+    m_orders->book.Expire(now);
+    m_nextOrderExpiry = now + kOrderExpiryInterval;
+  }
   m_tickTimer.expires_after(kTickInterval);
   m_tickTimer.async_wait([this](const std::error_code& aCode) {
     if (!aCode) {
@@ -103,13 +117,33 @@
   m_drainDeadline = MonotonicNow() + std::chrono::milliseconds(
                                        m_options.settings.drainTimeoutMs);
   OnTargetChanged("leaving");
+  m_handOver->Begin();
   CheckDrained();
 }
 
+// Daemons of the same failure domain; those whose target takes work come first,
+// because the others may be leaving as well.
+std::vector<SuccessorCandidate>
+Daemon::Successors()
+{
+  std::vector<SuccessorCandidate> working;
+  std::vector<SuccessorCandidate> others;
+  for (const membership::Member& member : m_membership->Members()) {
+    if (member.id != m_id && member.state == membership::MemberState::kAlive) {
+      (member.service ? working : others)
+        .push_back({ member.id, m_channels.Link(member.peerAddress) });
+    }
+  }
+  working.insert(working.end(), others.begin(), others.end());
+  return working;
+}
+
 void
 Daemon::CheckDrained()
 {
-  bool drained = m_traffic.counters.InFlight() == 0;
+  bool handedOver =
+    m_handOver->Advance(MonotonicNow(), m_drainDeadline, Successors());
+  bool drained = handedOver && m_traffic.counters.InFlight() == 0;
   if (!drained && MonotonicNow() < m_drainDeadline) {
     m_drainTimer.expires_after(kDrainCheckInterval);
     m_drainTimer.async_wait([this](const std::error_code& aCode) {
@@ -119,6 +153,9 @@
     });
     return;
   }
+  observability::Event("drain_finished")
+    .Add("in_flight", m_traffic.counters.InFlight())
+    .Info();
   m_exitStatus = drained ? 0 : 1;
   LeaveMembership();
 }
@@ -168,29 +205,7 @@
 std::string
 Daemon::MetricsText() const
 {
-  static constexpr const char* kOrigins[] = { "customer", "peer", "target" };
-  const TrafficCounters& counters = m_traffic.counters;
-  std::string text;
-  auto add = [&text](std::string_view aName, uint64_t aValue) {
-    text += fmt::format("{} {}\n", aName, aValue);
-  };
-  for (size_t i = 0; i < kOriginCount; ++i) {
-    add(fmt::format("wb_requests_total{{origin=\"{}\"}}", kOrigins[i]),
-        counters.requests[i]);
-    add(fmt::format("wb_in_flight{{origin=\"{}\"}}", kOrigins[i]),
-        counters.inFlight[i]);
-  }
-  add("wb_completed_total", counters.completed);
-  add("wb_attempts_total", counters.attempts);
-  add("wb_retries_total", counters.retries);
-  add("wb_hedges_total", counters.hedges);
-  add("wb_answer_mismatches_total", counters.mismatches);
-  for (size_t i = 0; i < kErrorKindCount; ++i) {
-    add(fmt::format("wb_errors_total{{kind=\"{}\"}}",
-                    AnswerFor(static_cast<ErrorKind>(i)).name),
-        counters.errors[i]);
-  }
-  return text;
+  return m_traffic.counters.registry.Text();
 }
 
 } // namespace wagtailbend::daemon
--- a/wagtailbend/daemon/control_wiring.cc
+++ b/wagtailbend/daemon/control_wiring.cc
@@ -53,8 +53,6 @@
     m_queue, m_channels, [this](Duration aRoundTrip) {
       m_link.OnRoundTrip(aRoundTrip, MonotonicNow());
     });
-  m_peerService =
-    std::make_unique<ControlPeerService>(m_control, *m_config, *m_summaries);
   WireAdmin();
   return m_membership->Start();
 }
--- a/wagtailbend/daemon/daemon.cc
+++ b/wagtailbend/daemon/daemon.cc
@@ -12,12 +12,14 @@
 
 #include "wagtailbend/daemon/bridge.h"
 #include "wagtailbend/daemon/grpc_transport.h"
+#include "wagtailbend/daemon/order_services.h"
 #include "wagtailbend/daemon/quarantine_filter.h"
 #include "wagtailbend/filters/budget_filter.h"
 #include "wagtailbend/filters/deadline_filter.h"
 #include "wagtailbend/filters/threshold_filter.h"
 #include "wagtailbend/filters/trace_filter.h"
 #include "wagtailbend/observability/event_log.h"
+#include "wagtailbend/platform/http_platform.h"
 
 namespace wagtailbend::daemon {
 namespace {
@@ -92,6 +94,9 @@
   std::unique_ptr<Daemon> daemon(new Daemon(std::move(aOptions)));
   daemon->m_schema = std::move(schema);
   daemon->WireTraffic();
+  if (auto error = daemon->WireOrders()) {
+    return *error;
+  }
   if (auto error = daemon->WireControl()) {
     return *error;
   }
@@ -110,6 +115,7 @@
   m_linkBytes = &chooser->Bytes();
   m_traffic.chooser = std::move(chooser);
   m_traffic.events = this;
+  m_traffic.counters.Observe(m_traffic.gate);
   m_traffic.progressBound = m_options.progressBound;
   const settings::Settings& settings = m_options.settings;
   if (!settings.traceUrl.empty()) {
@@ -138,6 +144,28 @@
   }
 }
 
+std::optional<Error>
+Daemon::WireOrders()
+{
+  const settings::Settings& settings = m_options.settings;
+  m_orders = std::make_unique<OrderParts>(m_id);
+  m_handOver = std::make_unique<OrderHandOver>(m_orders->book);
+  m_traffic.orders = m_orders.get();
+  if (settings.platformUrl.empty()) {
+    return std::nullopt;
+  }
+  const Duration timeout =
+    std::chrono::milliseconds(settings.platformTimeoutMs);
+  auto platform =
+    platform::HttpPlatform::Create(settings.platformUrl, { timeout, timeout });
+  if (const Error* error = GetError(platform)) {
+    return *error;
+  }
+  m_orders->claims =
+    std::make_unique<KeyClaims>(TakeValue(std::move(platform)), m_orders->book);
+  return std::nullopt;
+}
+
 std::unique_ptr<grpc::Server>
 Daemon::ListenOn(const std::string& aAddress, filters::Origin aOrigin)
 {
@@ -147,9 +175,18 @@
   int port = 0;
   builder.AddListeningPort(aAddress, grpc::InsecureServerCredentials(), &port);
   builder.RegisterCallbackGenericService(service.get());
+  const OrderServiceContext context{
+    *m_orders, m_traffic.snapshots, m_channels, m_options.settings.peerAddress
+  };
+  std::unique_ptr<grpc::Service> orders;
   if (aOrigin == filters::Origin::kPeer) {
-    builder.RegisterService(m_peerService.get());
+    orders = std::make_unique<PeerService>(
+      context, m_control, *m_config, *m_summaries);
+  } else {
+    orders = std::make_unique<CustomerService>(context);
   }
+  builder.RegisterService(orders.get());
+  m_orderServices.push_back(std::move(orders));
   builder.SetMaxReceiveMessageSize(kMaxMessageBytes);
   // Another process on the same address must be noticed, not shared with.
   builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
--- a/wagtailbend/daemon/daemon.h
+++ b/wagtailbend/daemon/daemon.h
@@ -27,6 +27,8 @@
 #include "wagtailbend/daemon/link_probe.h"
 #include "wagtailbend/daemon/membership_controller.h"
 #include "wagtailbend/daemon/options.h"
+#include "wagtailbend/daemon/order_hand_over.h"
+#include "wagtailbend/daemon/order_parts.h"
 #include "wagtailbend/daemon/routing_controller.h"
 #include "wagtailbend/daemon/summary_controller.h"
 #include "wagtailbend/daemon/target_registry.h"
@@ -78,6 +80,7 @@
     const std::shared_ptr<const config::ConfigInForce>& aConfig);
   void EvaluateRouting();
   void FillStatus(admin::StatusReply& aReply) const;
+  std::optional<Error> WireOrders();
   HttpHandlers MakeHandlers();
   std::optional<Error> OnAnnounce(Announcement aAnnouncement);
 
@@ -95,6 +98,7 @@
   void CheckDrained();
   void LeaveMembership();
   bool TakesWork() const;
+  std::vector<SuccessorCandidate> Successors();
   std::string StatusDocument() const;
   std::string MetricsText() const;
 
@@ -103,6 +107,7 @@
   std::shared_ptr<const schema::Schema> m_schema;
   ChannelPool m_channels{ KeepAlive{} };
   routing::LinkBudget m_link{ {}, MonotonicNow() };
+  std::unique_ptr<OrderParts> m_orders;
   // Outlives the trace filters in m_traffic. Null: spans are not exported.
   std::unique_ptr<observability::OtlpExporter> m_exporter;
   std::unique_ptr<QuarantineGuard> m_quarantine;
@@ -131,11 +136,13 @@
   const LinkBytes* m_linkBytes = nullptr;
   bool m_draining = false;
   TimePoint m_drainDeadline;
+  TimePoint m_nextOrderExpiry;
+  std::unique_ptr<OrderHandOver> m_handOver;
   int m_exitStatus = 0;
 
   std::vector<std::unique_ptr<Service>> m_services;
-  std::unique_ptr<ControlPeerService> m_peerService;
   std::unique_ptr<AdminService> m_adminService;
+  std::vector<std::unique_ptr<grpc::Service>> m_orderServices;
   std::vector<std::unique_ptr<grpc::Server>> m_servers;
   std::unique_ptr<HttpPages> m_pages;
 };
--- a/wagtailbend/daemon/gated_attempt.h
+++ b/wagtailbend/daemon/gated_attempt.h
@@ -8,6 +8,8 @@
 #pragma once
 
 #include "wagtailbend/attempts/registry.h"
+#include "wagtailbend/daemon/open_work.h"
+#include "wagtailbend/daemon/order_book.h"
 #include "wagtailbend/daemon/peer_transport.h"
 #include "wagtailbend/filters/filter.h"
 #include "wagtailbend/schema/schema.h"
@@ -29,6 +31,12 @@
   uint32_t budget = 0;
   /// For the quarantine, of method and payload.
   uint64_t fingerprint = 0;
+  /// Keeps the gate and the registry alive.
+  OpenWork::Hold hold;
+  /// Set for an order, which was granted to this daemon: it is started in this
+  /// table directly before it is sent, or rejected there.
+  OrderBook* orders = nullptr;
+  std::optional<orders::Ticket> ticket = std::nullopt;
 };
 
 /// Receives the requests that run at the local target. Thread-safe.
--- a/wagtailbend/daemon/routing_snapshot.h
+++ b/wagtailbend/daemon/routing_snapshot.h
@@ -48,6 +48,8 @@
   /// Choose among the own target and the peers, by service.
   std::map<std::string, std::shared_ptr<routing::Balancer>, std::less<>>
     balancers;
+  /// Peer addresses of all daemons that are alive, with or without a target.
+  std::map<DaemonId, std::shared_ptr<PeerLink>> daemons;
   /// New work is rejected.
   bool draining = false;
 };
