--- a/wagtailbend/daemon/quarantine_guard.cc
+++ b/wagtailbend/daemon/quarantine_guard.cc
@@ -9,7 +9,6 @@
 
 using quarantine::Entry;
 using quarantine::Verdict;
-using quarantine::VerdictKind;
 
 constexpr size_t kMaxExport = 4096;
 // Fingerprint, losses and the cleared flag, in the byte order of the machines,
