--- a/wagtailbend/daemon/bridge.cc
+++ b/wagtailbend/daemon/bridge.cc
@@ -197,7 +197,7 @@
   if (!aLeg.destination->own && m_order.role != OrderRole::kRelay) {
     metadata.emplace_back(kIncarnationKey,
                           ToHex(aLeg.destination->daemon.incarnation));
-    if (m_context.origin == filters::Origin::kPeer) {
+    if (EndsHere()) {
       metadata.emplace_back(kRelayedKey, "1");
     }
     // Tells the peer's gate that the call belongs to admitted work.
--- a/wagtailbend/daemon/bridge_end.cc
+++ b/wagtailbend/daemon/bridge_end.cc
@@ -122,8 +122,9 @@
   // A peer whose target has gone would cost each request sent to it a retry
   // until the control thread hears of it.
   const bool gone = aEnd.unreachable ||
-                    (aError.kind == ErrorKind::kNoTarget &&
-                     !m_destination->own && m_order.role != OrderRole::kRelay);
+                    (!m_destination->own && m_order.role != OrderRole::kRelay &&
+                     (aError.kind == ErrorKind::kNoTarget ||
+                      aError.kind == ErrorKind::kDraining));
   if (gone && m_traffic.events) {
     m_traffic.events->OnUnreachable(*m_destination);
   }
