Return the budget of an attempt that was rejected before it started

Cause: a lookup that a draining daemon rejected failed at the customer when the schema's budget left no second attempt at the entry: Ledgers/Roster has a budget of 4 and a minimum of 2, and the first attempt took the surplus down the chain for good. Ruled out: the retry ratio (its allowance was unused) and the hedge (it needs a learned latency). Change: a daemon that rejects a call before it started anything returns the whole allotment, and the caller credits it; the attempt itself stays spent, so the bound holds as before. The drain test is one ctest entry again.

--- a/testing/control.cmake
+++ b/testing/control.cmake
@@ -2,8 +2,4 @@
 add_dependencies(control_test wagtaild wagtail-fake-target wagtail-fake-platform)
 target_compile_definitions(control_test PRIVATE
   WB_BIN_DIR="${CMAKE_BINARY_DIR}/bin")
-set_tests_properties(control_test PROPERTIES RUN_SERIAL TRUE ENVIRONMENT
-  "GTEST_FILTER=-ControlDrain.*")
-add_test(NAME control_drain_test COMMAND control_test)
-set_tests_properties(control_drain_test PROPERTIES RUN_SERIAL TRUE ENVIRONMENT
-  "GTEST_FILTER=ControlDrain.*")
+set_tests_properties(control_test PROPERTIES RUN_SERIAL TRUE)
--- a/wagtailbend/daemon/bridge_attempts.cc
+++ b/wagtailbend/daemon/bridge_attempts.cc
@@ -247,6 +247,11 @@
                                       aNow - m_attemptStart);
     m_context.ledger->CompleteInFull(m_grant,
                                      ParseNumber(aEnd.attemptsLeft, 0));
+  } else if (aEnd.run == RunStateName(RunState::kNotRun)) {
+    // With the schema's budget for Ledgers/Roster (4, minimum 2) a lookup that
+    // a draining daemon rejected had no budget left for a retry.
+    m_context.ledger->CompleteInFull(m_grant,
+                                     ParseNumber(aEnd.attemptsLeft, 0));
   }
 }
 
--- a/wagtailbend/daemon/bridge_end.cc
+++ b/wagtailbend/daemon/bridge_end.cc
@@ -197,6 +197,14 @@
                                       m_context.attemptId.ToString());
   m_serverContext.AddTrailingMetadata(kErrorKey, std::string(answer.name));
   m_serverContext.AddTrailingMetadata(kRunKey, std::string(RunStateName(aRun)));
+  if (m_context.origin == filters::Origin::kPeer && aRun == RunState::kNotRun &&
+      m_context.attemptsStarted == 0) {
+    // Nothing below this daemon was started, so the budget is returned whole.
+    m_serverContext.AddTrailingMetadata(
+      kAttemptsLeftKey,
+      std::string(
+        FindMetadata(m_serverContext.client_metadata(), kAttemptsKey)));
+  }
   AddAdmissionTrailers(aError.kind);
   Leave({ std::move(aError), aRun, status.error_code(), m_responseBytes });
   Finish(status);
