--- a/wagtailbend/base/time.h
+++ b/wagtailbend/base/time.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 
 namespace wagtailbend {
 
@@ -23,6 +24,17 @@
     std::chrono::steady_clock::now());
 }
 
+/// Returns milliseconds since the Unix epoch, to order the processes that used
+/// one name. Thread-safe.
+inline uint64_t
+UnixMilliseconds()
+{
+  return static_cast<uint64_t>(
+    std::chrono::duration_cast<std::chrono::milliseconds>(
+      std::chrono::system_clock::now().time_since_epoch())
+      .count());
+}
+
 /// Converts to whole milliseconds, rounding toward zero.
 constexpr int64_t
 ToMilliseconds(Duration aDuration)
--- a/wagtailbend/client/customer_client.cc
+++ b/wagtailbend/client/customer_client.cc
@@ -347,38 +347,44 @@
     &draw->request,
     &draw->reply,
     [this, aDaemon, draw](const grpc::Status& aStatus) {
-      std::vector<std::shared_ptr<Pending>> waiting;
-      const bool drawn = aStatus.ok() && draw->reply.count() > 0;
-      {
-        const std::lock_guard lock(m_mutex);
-        Daemon& daemon = m_daemons[aDaemon];
-        daemon.drawing = false;
-        waiting.swap(daemon.waiting);
-        const DaemonId home{ draw->reply.home().name(),
-                             draw->reply.home().incarnation() };
-        for (uint32_t i = 0; drawn && i < draw->reply.count(); ++i) {
-          daemon.tickets.push_back({ home, draw->reply.block(), i });
-        }
-        daemon.ticketsExpire =
-          MonotonicNow() +
-          std::chrono::milliseconds(draw->reply.expires_in_ms()) -
-          kTicketMargin;
-      }
-      for (const std::shared_ptr<Pending>& pending : waiting) {
-        if (drawn) {
-          Dispatch(pending);
-          continue;
-        }
-        // Nothing was sent without a ticket, so another daemon may be asked.
-        CallResult result;
-        result.error = Error{ ErrorKind::kConnectionLost,
-                              "no tickets: " + aStatus.error_message() };
-        result.runState = RunState::kNotRun;
-        pending->Finish(std::move(result));
-      }
+      OnTickets(aDaemon, aStatus, draw->reply);
     });
 }
 
+void
+CustomerClient::OnTickets(size_t aDaemon,
+                          const grpc::Status& aStatus,
+                          const peer::DrawTicketsReply& aReply)
+{
+  std::vector<std::shared_ptr<Pending>> waiting;
+  const bool drawn = aStatus.ok() && aReply.count() > 0;
+  {
+    const std::lock_guard lock(m_mutex);
+    Daemon& daemon = m_daemons[aDaemon];
+    daemon.drawing = false;
+    waiting.swap(daemon.waiting);
+    const DaemonId home{ aReply.home().name(), aReply.home().incarnation() };
+    for (uint32_t i = 0; drawn && i < aReply.count(); ++i) {
+      daemon.tickets.push_back({ home, aReply.block(), i });
+    }
+    daemon.ticketsExpire = MonotonicNow() +
+                           std::chrono::milliseconds(aReply.expires_in_ms()) -
+                           kTicketMargin;
+  }
+  for (const std::shared_ptr<Pending>& pending : waiting) {
+    if (drawn) {
+      Dispatch(pending);
+      continue;
+    }
+    // Nothing was sent without a ticket, so another daemon may be asked.
+    CallResult result;
+    result.error = Error{ ErrorKind::kConnectionLost,
+                          "no tickets: " + aStatus.error_message() };
+    result.runState = RunState::kNotRun;
+    pending->Finish(std::move(result));
+  }
+}
+
 void
 CustomerClient::Finished()
 {
--- a/wagtailbend/client/customer_client.h
+++ b/wagtailbend/client/customer_client.h
@@ -17,12 +17,17 @@
 #include <vector>
 
 #include <grpcpp/channel.h>
+#include <grpcpp/support/status.h>
 
 #include "wagtailbend/base/error.h"
 #include "wagtailbend/base/rng.h"
 #include "wagtailbend/base/time.h"
 #include "wagtailbend/orders/ticket.h"
 
+namespace wagtailbend::peer {
+class DrawTicketsReply;
+}
+
 namespace wagtailbend::client {
 
 struct CallRequest
@@ -102,6 +107,9 @@
   size_t PickDaemon(std::optional<size_t> aExcluded);
   void Dispatch(const std::shared_ptr<Pending>& aPending);
   void DrawTickets(size_t aDaemon);
+  void OnTickets(size_t aDaemon,
+                 const grpc::Status& aStatus,
+                 const peer::DrawTicketsReply& aReply);
   /// Forgets unused tickets of a daemon that cannot dispatch them any more.
   void DropTickets(size_t aDaemon);
   void Finished();
--- a/wagtailbend/daemon/balancing_chooser.h
+++ b/wagtailbend/daemon/balancing_chooser.h
@@ -7,7 +7,7 @@
 
 #include <atomic>
 
-#include "wagtailbend/daemon/policies.h"
+#include "wagtailbend/daemon/target_chooser.h"
 #include "wagtailbend/routing/link_budget.h"
 
 namespace wagtailbend::daemon {
--- a/wagtailbend/daemon/config_runner.cc
+++ b/wagtailbend/daemon/config_runner.cc
@@ -125,6 +125,11 @@
     asio::post(m_control, [this, head = std::move(head)] {
       m_polling = false;
       TimePoint now = MonotonicNow();
+      if (const Error* error = GetError(head)) {
+        observability::Event("config_poll_failed")
+          .Add("reason", error->detail)
+          .Warn();
+      }
       Run(IsOk(head) ? m_controller.OnHead(GetValue(head), now)
                      : m_controller.OnPollFailed(now));
     });
--- a/wagtailbend/daemon/control_wiring.cc
+++ b/wagtailbend/daemon/control_wiring.cc
@@ -15,15 +15,6 @@
 constexpr Duration kLinkInUse = std::chrono::seconds(5);
 constexpr size_t kPollersPerDomain = 2;
 
-uint64_t
-UnixMilliseconds()
-{
-  return static_cast<uint64_t>(
-    std::chrono::duration_cast<std::chrono::milliseconds>(
-      std::chrono::system_clock::now().time_since_epoch())
-      .count());
-}
-
 membership::ConfigVersion
 ToGossip(const config::ConfigVersion& aVersion)
 {
--- a/wagtailbend/daemon/summary_controller.cc
+++ b/wagtailbend/daemon/summary_controller.cc
@@ -23,15 +23,6 @@
 constexpr Duration kCallTimeout = std::chrono::milliseconds(900);
 constexpr size_t kMaxLinks = 32;
 
-uint64_t
-UnixMilliseconds()
-{
-  return static_cast<uint64_t>(
-    std::chrono::duration_cast<std::chrono::milliseconds>(
-      std::chrono::system_clock::now().time_since_epoch())
-      .count());
-}
-
 } // namespace
 
 SummaryController::SummaryController(asio::io_context& aControl,
--- a/wagtailbend/daemon/policies.h
+++ b/wagtailbend/daemon/target_chooser.h
@@ -1,9 +1,7 @@
-// The decision of the request path that another module replaces: which target
-// to use.
+// The choice of the target of each attempt, as the request path sees it.
 //
-//   PreferOwnChooser chooser;
 //   const Destination* destination =
-//     chooser.Choose(context, snapshot, tried, now, rng);
+//     chooser->Choose(context, snapshot, tried, now, rng);
 
 #pragma once
 
@@ -50,24 +48,4 @@
                      TimePoint aNow) = 0;
 };
 
-/// Takes the own target if it runs the service, else a random peer that was
-/// not tried yet, else a random peer. Replaced by the routing module.
-class PreferOwnChooser final : public TargetChooser
-{
-public:
-  const Destination* Choose(const filters::RequestContext& aContext,
-                            const RoutingSnapshot& aSnapshot,
-                            std::span<const DaemonId> aTried,
-                            TimePoint aNow,
-                            Rng& aRng) override;
-  void OnStart(const Destination& /*aDestination*/, TimePoint /*aNow*/) override
-  {
-  }
-  void OnEnd(const Destination& /*aDestination*/,
-             const AttemptResult& /*aResult*/,
-             TimePoint /*aNow*/) override
-  {
-  }
-};
-
 } // namespace wagtailbend::daemon
--- a/wagtailbend/daemon/traffic.h
+++ b/wagtailbend/daemon/traffic.h
@@ -14,9 +14,9 @@
 #include "wagtailbend/daemon/open_work.h"
 #include "wagtailbend/daemon/order_parts.h"
 #include "wagtailbend/daemon/peer_transport.h"
-#include "wagtailbend/daemon/policies.h"
 #include "wagtailbend/daemon/quarantine_guard.h"
 #include "wagtailbend/daemon/routing_snapshot.h"
+#include "wagtailbend/daemon/target_chooser.h"
 #include "wagtailbend/daemon/traffic_metrics.h"
 #include "wagtailbend/filters/filter.h"
 
