Wait longer than a lost SYN for the platform and read its rows sooner

Cause: eight daemons that start together overflow the stand-in's listen queue; Linux repeats a lost SYN after 1 s, and the limit for a request was also 1 s, so one lost packet failed the request (ConnectionTimeout in 2 of 6 runs). Members were then read again only after 5 s: the test took 7 to 12 s. Ruled out: the poller selection and the fetch of the body. Change: platform.timeout_ms defaults to 1500; rows are read again after 1 s while nobody is known.

--- a/wagtailbend/daemon/membership_controller.cc
+++ b/wagtailbend/daemon/membership_controller.cc
@@ -19,7 +19,7 @@
 constexpr char kTable[] = "daemons";
 constexpr Duration kRowInterval = std::chrono::minutes(10);
 // While the row is not written, or no other member is known.
-constexpr Duration kRowRetry = std::chrono::seconds(5);
+constexpr Duration kRowRetry = std::chrono::seconds(1);
 // Enough to find a live daemon; more would amount to a list of all daemons.
 constexpr size_t kMaxStrangers = 8;
 constexpr size_t kMaxForeignGossip = 64;
--- a/wagtailbend/settings/internal/settings_table.h
+++ b/wagtailbend/settings/internal/settings_table.h
@@ -117,7 +117,9 @@
 inline constexpr std::array kNumberFields = {
   NumberField{ "platform.timeout_ms",
                &Settings::platformTimeoutMs,
-               1000,
+               // Above the 1 s after which Linux repeats a lost SYN; with 1000
+               // one lost packet failed the whole request.
+               1500,
                10,
                60'000,
                "ms",
