--- a/wagtailbend/daemon/order_services.cc
+++ b/wagtailbend/daemon/order_services.cc
@@ -175,7 +175,9 @@
   }
   EncodeDaemonId(m_context.parts.book.Self(), *request.mutable_served_by());
   request.set_peer_address(m_context.peerAddress);
-  for (const auto& [daemon, link] : m_context.snapshots.Load()->daemons) {
+  // The range expression of a loop does not keep a temporary snapshot alive.
+  const auto snapshot = m_context.snapshots.Load();
+  for (const auto& [daemon, link] : snapshot->daemons) {
     CallPeer<peer::AnnounceHomesReply, peer::AnnounceHomesRequest>(
       *link,
       &Async::AnnounceHomes,
--- a/wagtailbend/routing/ejection.cc
+++ b/wagtailbend/routing/ejection.cc
@@ -228,7 +228,9 @@
 void
 Balancer::Hint(const DaemonId& aId, double aLoad, TimePoint aNow) const
 {
-  for (const TargetPtr& target : m_snapshot.load()->all) {
+  // The range expression of a loop does not keep a temporary snapshot alive.
+  const auto snapshot = m_snapshot.load();
+  for (const TargetPtr& target : snapshot->all) {
     if (target->candidate.id == aId) {
       target->stats->SetHint(aLoad, aNow);
     }
