--- a/cmake/wagtailbend.cmake
+++ b/cmake/wagtailbend.cmake
@@ -22,7 +22,11 @@
 endfunction()
 
 # wb_test(NAME SRCS a_test.cc... DEPS other...): one ctest entry using GoogleTest.
+# Defines nothing in a build of the HTTP path alone.
 function(wb_test name)
+  if(WB_HTTP_ONLY)
+    return()
+  endif()
   cmake_parse_arguments(ARG "" "" "SRCS;DEPS" ${ARGN})
   add_executable(${name} ${ARG_SRCS})
   target_include_directories(${name} PRIVATE ${CMAKE_SOURCE_DIR})
--- a/programs/wagtailctl.cc
+++ b/programs/wagtailctl.cc
@@ -8,7 +8,7 @@
 
 #include "programs/admin_client.h"
 #include "wagtailbend/config/config_store.h"
-#include "wagtailbend/platform/http_platform.h"
+#include "wagtailbend/store/http_platform.h"
 #include "wagtailbend/schema/schema.h"
 #include "wagtailbend/settings/settings.h"
 
@@ -146,7 +146,7 @@
             const Streams& aStreams)
 {
   const auto platform =
-    platform::HttpPlatform::Create(aOptions["platform"].as<std::string>(), {});
+    store::HttpPlatform::Create(aOptions["platform"].as<std::string>(), {});
   if (const Error* error = GetError(platform)) {
     return Fail(aStreams, kExitUsage, error->detail);
   }
--- a/programs/wagtailctl_apply.cc
+++ b/programs/wagtailctl_apply.cc
@@ -8,7 +8,7 @@
 #include "programs/wagtailctl.h"
 #include "wagtailbend/base/ids.h"
 #include "wagtailbend/config/config_store.h"
-#include "wagtailbend/platform/http_platform.h"
+#include "wagtailbend/store/http_platform.h"
 #include "wagtailbend/schema/schema.h"
 
 namespace wagtailbend::ctl {
@@ -116,7 +116,7 @@
     return kExitUsage;
   }
   const auto platform =
-    platform::HttpPlatform::Create(aOptions["platform"].as<std::string>(), {});
+    store::HttpPlatform::Create(aOptions["platform"].as<std::string>(), {});
   if (const Error* error = GetError(platform)) {
     aStreams.err << error->detail << '\n';
     return kExitUsage;
--- a/testing/control_test.cc
+++ b/testing/control_test.cc
@@ -14,7 +14,7 @@
 #include "testing/caller.h"
 #include "testing/deployment.h"
 #include "wagtailbend/config/config_store.h"
-#include "wagtailbend/platform/http_platform.h"
+#include "wagtailbend/store/http_platform.h"
 #include "wagtailbend/schema/schema.h"
 
 namespace wagtailbend::testing {
@@ -66,7 +66,7 @@
   void SetUp() override
   {
     ASSERT_TRUE(m_platform.WaitForLine("event=ready", seconds(5)));
-    auto platform = platform::HttpPlatform::Create("http://" + m_address, {});
+    auto platform = store::HttpPlatform::Create("http://" + m_address, {});
     m_client = TakeValue(std::move(platform));
     m_schema =
       TakeValue(schema::CompileSchemaFile(m_deployment.SchemaFile(), {}));
@@ -122,7 +122,7 @@
   Process m_platform{ { std::string(WB_BIN_DIR) + "/wagtail-fake-platform",
                         "--listen",
                         m_address } };
-  std::unique_ptr<platform::Platform> m_client;
+  std::unique_ptr<store::Platform> m_client;
   schema::CompiledSchema m_schema;
   Deployment m_deployment{ "association",
                            { { kSettlements, {}, "ranong" },
--- a/testing/fakes/fake_platform_server.cc
+++ b/testing/fakes/fake_platform_server.cc
@@ -5,12 +5,12 @@
 #include <nlohmann/json.hpp>
 #include <sys/socket.h>
 
-#include "wagtailbend/platform/codec.h"
+#include "wagtailbend/store/codec.h"
 
 namespace wagtailbend::testing_fakes {
 namespace {
 
-using namespace wagtailbend::platform;
+using namespace wagtailbend::store;
 using httplib::Request;
 using httplib::Response;
 
--- a/testing/fakes/in_memory_platform.cc
+++ b/testing/fakes/in_memory_platform.cc
@@ -4,12 +4,12 @@
 #include <numeric>
 #include <thread>
 
-#include "wagtailbend/platform/codec.h"
+#include "wagtailbend/store/codec.h"
 
 namespace wagtailbend::testing_fakes {
 namespace {
 
-using namespace wagtailbend::platform;
+using namespace wagtailbend::store;
 
 constexpr std::array<const char*, 4> kFaultKindNames = { "none",
                                                          "down",
--- a/testing/fakes/in_memory_platform.h
+++ b/testing/fakes/in_memory_platform.h
@@ -16,7 +16,7 @@
 #include <utility>
 
 #include "wagtailbend/base/time.h"
-#include "wagtailbend/platform/platform.h"
+#include "wagtailbend/store/platform.h"
 
 namespace wagtailbend::testing_fakes {
 
@@ -72,7 +72,7 @@
 };
 
 /// All methods are thread-safe. A delayed operation does not block others.
-class InMemoryPlatform : public platform::Platform
+class InMemoryPlatform : public store::Platform
 {
 public:
   using Sleep = std::function<void(Duration)>;
@@ -87,15 +87,15 @@
   uint64_t Count(Operation aOperation) const;
   uint64_t TotalCount() const;
 
-  platform::TransactResult Transact(
-    const platform::TransactRequest& aRequest) override;
-  Result<std::optional<platform::Row>> ReadRow(
+  store::TransactResult Transact(
+    const store::TransactRequest& aRequest) override;
+  Result<std::optional<store::Row>> ReadRow(
     const std::string& aTable,
     const std::string& aKey) override;
-  Result<std::vector<platform::Row>> ListRows(
+  Result<std::vector<store::Row>> ListRows(
     const std::string& aTable,
     const std::string& aPrefix) override;
-  platform::PutResult PutObject(const std::string& aKey,
+  store::PutResult PutObject(const std::string& aKey,
                                 const std::string& aBytes) override;
   Result<std::optional<std::string>> GetObject(
     const std::string& aKey) override;
@@ -103,7 +103,7 @@
 private:
   /// Counts the operation, waits for the delay, returns the fault to apply.
   FaultKind Begin(Operation aOperation);
-  platform::TransactResult Apply(const platform::TransactRequest& aRequest);
+  store::TransactResult Apply(const store::TransactRequest& aRequest);
 
   const Sleep m_sleep;
   mutable std::mutex m_mutex;
@@ -112,7 +112,7 @@
   uint32_t m_concerned = 0;
   std::array<uint64_t, kOperationCount> m_counts{};
   uint64_t m_lastVersion = 0;
-  std::map<std::pair<std::string, std::string>, platform::Row> m_rows;
+  std::map<std::pair<std::string, std::string>, store::Row> m_rows;
   std::map<std::string, std::string> m_objects;
 };
 
--- /dev/null
+++ b/wagtailbend/base/boot_time.h
@@ -0,0 +1,25 @@
+// Time that goes on while the VM is suspended.
+//
+//   const TimePoint deadline = BootNow() + remaining;
+
+#pragma once
+
+#include <ctime>
+
+#include "wagtailbend/base/time.h"
+
+namespace wagtailbend {
+
+/// Returns the time since boot, with the time of suspensions. A deadline that
+/// passed during a suspension has passed, which MonotonicNow does not show.
+/// Values of the two clocks must not be mixed. Thread-safe.
+inline TimePoint
+BootNow()
+{
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  return TimePoint(std::chrono::seconds(now.tv_sec) +
+                   std::chrono::nanoseconds(now.tv_nsec));
+}
+
+} // namespace wagtailbend
--- a/wagtailbend/base/error.cc
+++ b/wagtailbend/base/error.cc
@@ -108,6 +108,7 @@
     false },
   { Kind::kConflict, "conflict", kGrpcAborted, Run::kNotRun, false },
   { Kind::kNotFound, "not-found", kGrpcNotFound, Run::kNotRun, false },
+  { Kind::kHistoryLost, "history-lost", kGrpcDataLoss, Run::kNotRun, false },
   { Kind::kInternal, "internal", kGrpcInternal, Run::kMayHaveRun, false },
 } };
 
--- a/wagtailbend/base/error.h
+++ b/wagtailbend/base/error.h
@@ -37,6 +37,7 @@
   kPlatformUnavailable,
   kConflict,
   kNotFound,
+  kHistoryLost,
   kInternal,
 };
 
--- a/wagtailbend/config/config_property_test.cc
+++ b/wagtailbend/config/config_property_test.cc
@@ -16,7 +16,7 @@
 
 // Runs steps of other operators and daemons before any operation of the one
 // that is under way, and injects a fault into some operations.
-class InterleavingPlatform : public platform::Platform
+class InterleavingPlatform : public store::Platform
 {
 public:
   InterleavingPlatform(InMemoryPlatform& aStore, Rng& aRng)
@@ -27,26 +27,26 @@
 
   std::function<void()> m_otherStep;
 
-  platform::TransactResult Transact(
-    const platform::TransactRequest& aRequest) override
+  store::TransactResult Transact(
+    const store::TransactRequest& aRequest) override
   {
     Before();
     return m_store.Transact(aRequest);
   }
-  Result<std::optional<platform::Row>> ReadRow(const std::string& aTable,
+  Result<std::optional<store::Row>> ReadRow(const std::string& aTable,
                                                const std::string& aKey) override
   {
     Before();
     return m_store.ReadRow(aTable, aKey);
   }
-  Result<std::vector<platform::Row>> ListRows(
+  Result<std::vector<store::Row>> ListRows(
     const std::string& aTable,
     const std::string& aPrefix) override
   {
     Before();
     return m_store.ListRows(aTable, aPrefix);
   }
-  platform::PutResult PutObject(const std::string& aKey,
+  store::PutResult PutObject(const std::string& aKey,
                                 const std::string& aBytes) override
   {
     Before();
--- a/wagtailbend/config/config_store.cc
+++ b/wagtailbend/config/config_store.cc
@@ -10,8 +10,8 @@
 namespace wagtailbend::config {
 namespace {
 
-using platform::PutResult;
-using platform::TransactResult;
+using store::PutResult;
+using store::TransactResult;
 
 const std::string kTable = "config";
 const std::string kHeadKey = "head";
@@ -45,7 +45,7 @@
 }
 
 Result<ConfigVersion>
-Decode(const platform::Row& aRow)
+Decode(const store::Row& aRow)
 {
   peer::ConfigVersion message;
   if (!message.ParseFromString(aRow.value)) {
@@ -80,7 +80,7 @@
   return "xxh128-" + ToHex(hash.high64) + ToHex(hash.low64);
 }
 
-ConfigStore::ConfigStore(platform::Platform& aPlatform)
+ConfigStore::ConfigStore(store::Platform& aPlatform)
   : m_platform(aPlatform)
 {
 }
@@ -172,10 +172,10 @@
     if (std::holds_alternative<Done>(result)) {
       return std::nullopt;
     }
-    if (const auto* refused = std::get_if<platform::Refused>(&result)) {
+    if (const auto* refused = std::get_if<store::Refused>(&result)) {
       return refused->error;
     }
-    detail = std::get<platform::Unknown>(result).detail;
+    detail = std::get<store::Unknown>(result).detail;
   }
   // The head is untouched, so an object that was stored has no effect.
   return Error{ ErrorKind::kPlatformUnavailable, detail };
@@ -185,7 +185,7 @@
 ConfigStore::Commit(const ConfigVersion& aNext, const Head& aBase)
 {
   const std::string value = Encode(aNext);
-  const platform::TransactRequest request{
+  const store::TransactRequest request{
     { { kTable, kHeadKey, aBase.rowVersion },
       { kTable, ChangeKey(aNext.changeId), std::nullopt } },
     { { kTable, kHeadKey, value },
@@ -195,15 +195,15 @@
   std::string unknown;
   for (int attempt = 0; attempt < kMaxAttempts; ++attempt) {
     const TransactResult result = m_platform.Transact(request);
-    if (std::holds_alternative<platform::Committed>(result)) {
+    if (std::holds_alternative<store::Committed>(result)) {
       return Accepted{ aNext };
     }
-    if (const auto* refused = std::get_if<platform::Refused>(&result)) {
+    if (const auto* refused = std::get_if<store::Refused>(&result)) {
       // A refused repetition proves nothing about the earlier attempt.
       return unknown.empty() ? AcceptResult(refused->error)
                              : OutcomeUnknown{ unknown };
     }
-    if (const auto* lost = std::get_if<platform::Unknown>(&result)) {
+    if (const auto* lost = std::get_if<store::Unknown>(&result)) {
       unknown = lost->detail.empty() ? "no reply" : lost->detail;
     }
     if (const auto outcome = ReadBack(aNext, aBase)) {
--- a/wagtailbend/config/config_store.h
+++ b/wagtailbend/config/config_store.h
@@ -16,7 +16,7 @@
 #include <vector>
 
 #include "wagtailbend/base/result.h"
-#include "wagtailbend/platform/platform.h"
+#include "wagtailbend/store/platform.h"
 
 namespace wagtailbend::config {
 
@@ -82,7 +82,7 @@
 class ConfigStore
 {
 public:
-  explicit ConfigStore(platform::Platform& aPlatform);
+  explicit ConfigStore(store::Platform& aPlatform);
 
   /// Validates the body, stores it, then replaces the head and records the
   /// change in one transaction. Idempotent by change id.
@@ -114,7 +114,7 @@
   std::optional<Error> PutBody(const std::string& aDigest,
                                const std::string& aBody);
 
-  platform::Platform& m_platform;
+  store::Platform& m_platform;
 };
 
 } // namespace wagtailbend::config
--- a/wagtailbend/config/config_store_test.cc
+++ b/wagtailbend/config/config_store_test.cc
@@ -154,20 +154,20 @@
 class DelayedThenRefused : public InMemoryPlatform
 {
 public:
-  platform::TransactResult Transact(
-    const platform::TransactRequest& aRequest) override
+  store::TransactResult Transact(
+    const store::TransactRequest& aRequest) override
   {
     if (!std::exchange(m_isFirst, false)) {
-      return platform::Refused{ { ErrorKind::kPlatformUnavailable, "down" } };
+      return store::Refused{ { ErrorKind::kPlatformUnavailable, "down" } };
     }
     m_inFlight = aRequest;
-    return platform::Unknown{ "no reply" };
+    return store::Unknown{ "no reply" };
   }
   void Deliver() { InMemoryPlatform::Transact(m_inFlight); }
 
 private:
   bool m_isFirst = true;
-  platform::TransactRequest m_inFlight;
+  store::TransactRequest m_inFlight;
 };
 
 // Guards against taking a refused repetition as proof that the first
--- a/wagtailbend/config/config_test_util.h
+++ b/wagtailbend/config/config_test_util.h
@@ -40,7 +40,7 @@
 class VirtualDaemons
 {
 public:
-  VirtualDaemons(platform::Platform& aPlatform, int aCount, int aPollers)
+  VirtualDaemons(store::Platform& aPlatform, int aCount, int aPollers)
     : m_store(aPlatform)
   {
     for (int i = 0; i < aCount; ++i) {
--- a/wagtailbend/daemon/config_runner.cc
+++ b/wagtailbend/daemon/config_runner.cc
@@ -34,7 +34,7 @@
                            std::shared_ptr<ControlQueue> aQueue,
                            asio::thread_pool& aBlockingPool,
                            ChannelPool& aChannels,
-                           std::shared_ptr<platform::Platform> aPlatform,
+                           std::shared_ptr<store::Platform> aPlatform,
                            InForce aInForce)
   : m_control(aControl)
   , m_queue(std::move(aQueue))
--- a/wagtailbend/daemon/config_runner.h
+++ b/wagtailbend/daemon/config_runner.h
@@ -34,7 +34,7 @@
                std::shared_ptr<ControlQueue> aQueue,
                asio::thread_pool& aBlockingPool,
                ChannelPool& aChannels,
-               std::shared_ptr<platform::Platform> aPlatform,
+               std::shared_ptr<store::Platform> aPlatform,
                InForce aInForce);
 
   /// Starts the timer.
@@ -70,7 +70,7 @@
   std::shared_ptr<ControlQueue> m_queue;
   asio::thread_pool& m_blockingPool;
   ChannelPool& m_channels;
-  std::shared_ptr<platform::Platform> m_platform;
+  std::shared_ptr<store::Platform> m_platform;
   std::unique_ptr<config::ConfigStore> m_store;
   InForce m_inForce;
   config::ConfigController m_controller;
--- a/wagtailbend/daemon/control_wiring.cc
+++ b/wagtailbend/daemon/control_wiring.cc
@@ -6,7 +6,7 @@
 #include "wagtailbend/daemon/daemon.h"
 #include "wagtailbend/daemon/order_codec.h"
 #include "wagtailbend/observability/event_log.h"
-#include "wagtailbend/platform/http_platform.h"
+#include "wagtailbend/store/http_platform.h"
 
 namespace wagtailbend::daemon {
 namespace {
@@ -30,7 +30,7 @@
   if (!settings.platformUrl.empty()) {
     const Duration timeout =
       std::chrono::milliseconds(settings.platformTimeoutMs);
-    auto platform = platform::HttpPlatform::Create(settings.platformUrl,
+    auto platform = store::HttpPlatform::Create(settings.platformUrl,
                                                    { timeout, timeout });
     if (const Error* error = GetError(platform)) {
       return *error;
--- a/wagtailbend/daemon/daemon.cc
+++ b/wagtailbend/daemon/daemon.cc
@@ -19,7 +19,7 @@
 #include "wagtailbend/filters/threshold_filter.h"
 #include "wagtailbend/filters/trace_filter.h"
 #include "wagtailbend/observability/event_log.h"
-#include "wagtailbend/platform/http_platform.h"
+#include "wagtailbend/store/http_platform.h"
 
 namespace wagtailbend::daemon {
 namespace {
@@ -157,7 +157,7 @@
   const Duration timeout =
     std::chrono::milliseconds(settings.platformTimeoutMs);
   auto platform =
-    platform::HttpPlatform::Create(settings.platformUrl, { timeout, timeout });
+    store::HttpPlatform::Create(settings.platformUrl, { timeout, timeout });
   if (const Error* error = GetError(platform)) {
     return *error;
   }
--- a/wagtailbend/daemon/daemon.h
+++ b/wagtailbend/daemon/daemon.h
@@ -128,7 +128,7 @@
   asio::thread_pool m_blockingPool{ 4 };
   std::shared_ptr<ControlQueue> m_queue =
     std::make_shared<ControlQueue>(m_control);
-  std::shared_ptr<platform::Platform> m_platform;
+  std::shared_ptr<store::Platform> m_platform;
   TargetRegistry m_target;
   // Connections lost until then belong to the same death of the target.
   TimePoint m_lossUntil;
--- a/wagtailbend/daemon/key_claims.cc
+++ b/wagtailbend/daemon/key_claims.cc
@@ -15,7 +15,7 @@
 constexpr Duration kTicketReserve = std::chrono::minutes(1);
 
 std::optional<orders::ClaimRow>
-RowOf(const platform::Row& aRow)
+RowOf(const store::Row& aRow)
 {
   auto value = orders::ClaimValue::Parse(aRow.value);
   if (!value) {
@@ -26,7 +26,7 @@
 
 } // namespace
 
-KeyClaims::KeyClaims(std::unique_ptr<platform::Platform> aPlatform,
+KeyClaims::KeyClaims(std::unique_ptr<store::Platform> aPlatform,
                      OrderBook& aBook)
   : m_platform(std::move(aPlatform))
   , m_book(aBook)
@@ -151,21 +151,21 @@
 orders::ClaimResult
 KeyClaims::Send(const orders::InsertClaims& aInsert)
 {
-  platform::TransactRequest request;
+  store::TransactRequest request;
   for (const orders::ClaimRow& row : aInsert.rows) {
     request.conditions.push_back({ kTable, row.key, std::nullopt });
     request.writes.push_back({ kTable, row.key, row.value.ToString() });
   }
-  platform::TransactResult result = m_platform->Transact(request);
-  if (std::holds_alternative<platform::Committed>(result)) {
+  store::TransactResult result = m_platform->Transact(request);
+  if (std::holds_alternative<store::Committed>(result)) {
     return orders::ClaimsCommitted{};
   }
-  const auto* conflict = std::get_if<platform::Conflict>(&result);
+  const auto* conflict = std::get_if<store::Conflict>(&result);
   if (conflict == nullptr) {
     return orders::ClaimsUnknown{};
   }
   orders::ClaimsConflict existing;
-  for (const platform::ConflictingRow& row : conflict->rows) {
+  for (const store::ConflictingRow& row : conflict->rows) {
     auto claim = row.current ? RowOf(*row.current) : std::nullopt;
     if (claim) {
       existing.rows.push_back(std::move(*claim));
--- a/wagtailbend/daemon/key_claims.h
+++ b/wagtailbend/daemon/key_claims.h
@@ -16,7 +16,7 @@
 
 #include "wagtailbend/daemon/order_book.h"
 #include "wagtailbend/orders/raw_key_claimer.h"
-#include "wagtailbend/platform/platform.h"
+#include "wagtailbend/store/platform.h"
 
 namespace wagtailbend::daemon {
 
@@ -33,7 +33,7 @@
   using Callback = std::function<void(Claimed)>;
 
   /// aBook must outlive this object; it is the home of new claims.
-  KeyClaims(std::unique_ptr<platform::Platform> aPlatform, OrderBook& aBook);
+  KeyClaims(std::unique_ptr<store::Platform> aPlatform, OrderBook& aBook);
   /// Waits for requests in flight.
   ~KeyClaims();
   KeyClaims(const KeyClaims&) = delete;
@@ -68,7 +68,7 @@
     const std::vector<orders::Resolution>& aResolutions);
   void Finish(const std::vector<Ending>& aEndings);
 
-  std::unique_ptr<platform::Platform> m_platform;
+  std::unique_ptr<store::Platform> m_platform;
   OrderBook& m_book;
   // Guards the members below, except the pool.
   std::mutex m_mutex;
--- a/wagtailbend/daemon/membership_controller.cc
+++ b/wagtailbend/daemon/membership_controller.cc
@@ -31,7 +31,7 @@
 }
 
 std::optional<Member>
-ParseRow(const platform::Row& aRow)
+ParseRow(const store::Row& aRow)
 {
   gossip::Member wire;
   if (!wire.ParseFromString(aRow.value)) {
@@ -301,7 +301,7 @@
   if (std::exchange(m_writing, true)) {
     return;
   }
-  platform::TransactRequest request{
+  store::TransactRequest request{
     .conditions = {},
     .writes = { { kTable,
                   RowKey(Self().failureDomain, Self().id.name),
@@ -309,7 +309,7 @@
   };
   asio::post(m_blockingPool, [this, request = std::move(request)] {
     auto result = m_platform->Transact(request);
-    bool written = std::holds_alternative<platform::Committed>(result);
+    bool written = std::holds_alternative<store::Committed>(result);
     asio::post(m_control, [this, written] {
       m_writing = false;
       m_rowWritten = m_rowWritten || written;
@@ -330,7 +330,7 @@
       if (!IsOk(rows)) {
         return;
       }
-      for (const platform::Row& row : GetValue(rows)) {
+      for (const store::Row& row : GetValue(rows)) {
         auto member = ParseRow(row);
         if (!member) {
           continue;
--- a/wagtailbend/daemon/membership_controller.h
+++ b/wagtailbend/daemon/membership_controller.h
@@ -21,7 +21,7 @@
 
 #include "wagtailbend/membership/swim.h"
 #include "wagtailbend/membership/udp_transport.h"
-#include "wagtailbend/platform/platform.h"
+#include "wagtailbend/store/platform.h"
 
 namespace wagtailbend::daemon {
 
@@ -31,7 +31,7 @@
   membership::Member self;
   std::vector<std::string> seeds;
   /// Null: no table service.
-  std::shared_ptr<platform::Platform> platform;
+  std::shared_ptr<store::Platform> platform;
 };
 
 /// Called on the control thread.
@@ -120,7 +120,7 @@
 
   asio::io_context& m_control;
   asio::thread_pool& m_blockingPool;
-  std::shared_ptr<platform::Platform> m_platform;
+  std::shared_ptr<store::Platform> m_platform;
   MembershipHooks m_hooks;
   membership::Swim m_swim;
   Rng m_rng;
--- /dev/null
+++ b/wagtailbend/exchange/retry_allowance.h
@@ -0,0 +1,64 @@
+// How many more arrivals at a service this daemon may cause.
+//
+//   allowance.RecordCall(service, now);
+//   if (allowance.TryTake(service, priority, now)) { ... send it again ... }
+//
+// Answers targets that fail or reject while all callers retry: the arrivals
+// beyond the first of each request are bounded for the whole system by a ratio
+// of the requests plus a fixed number in a window of 10 s. Each daemon keeps
+// to the ratio over its own requests, and to its part of the fixed number, so
+// that no daemon needs to know of the others' retries.
+
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "wagtailbend/attempts/ratio_limiter.h"
+#include "wagtailbend/base/time.h"
+
+namespace wagtailbend::exchange {
+
+struct RetryTerms
+{
+  /// Extra arrivals allowed for each request.
+  double ratio = 0.1;
+  /// Extra arrivals allowed for the whole system in a window.
+  uint32_t extra = 10;
+
+  bool operator==(const RetryTerms&) const = default;
+};
+
+/// Not thread-safe.
+class RetryAllowance
+{
+public:
+  explicit RetryAllowance(RetryTerms aTerms);
+
+  /// Daemons among which the fixed number is divided. Precondition: > 0.
+  void SetDaemons(size_t aCount);
+  void RecordCall(const std::string& aService, TimePoint aNow);
+  /// Counts one more arrival and returns true if it is allowed. The least
+  /// important classes may use a part of the ratio only, which leaves the rest
+  /// to the others.
+  bool TryTake(const std::string& aService,
+               uint32_t aPriority,
+               TimePoint aNow);
+
+private:
+  struct Limits
+  {
+    std::unique_ptr<attempts::RatioLimiter> all;
+    std::unique_ptr<attempts::RatioLimiter> unimportant;
+  };
+
+  Limits& For(const std::string& aService);
+
+  const RetryTerms m_terms;
+  size_t m_daemons = 1;
+  std::unordered_map<std::string, Limits> m_limits;
+};
+
+} // namespace wagtailbend::exchange
--- /dev/null
+++ b/wagtailbend/exchange/return_time.cc
@@ -0,0 +1,39 @@
+#include "wagtailbend/exchange/return_time.h"
+
+#include <algorithm>
+
+namespace wagtailbend::exchange {
+namespace {
+
+// Callers come back within a third of the time that they have left.
+constexpr double kPatience = 0.33;
+constexpr Duration kShortest = std::chrono::milliseconds(50);
+
+Duration
+Scale(Duration aDuration, double aFactor)
+{
+  return Duration(
+    static_cast<int64_t>(static_cast<double>(aDuration.count()) * aFactor));
+}
+
+} // namespace
+
+Duration
+ReturnAfter(Duration aRemaining,
+            Duration aObjectiveLeft,
+            double aLevel,
+            Duration aRun,
+            Rng& aRng)
+{
+  const Duration patience = Scale(aRemaining, kPatience);
+  const Duration punctual =
+    std::clamp(aObjectiveLeft - 2 * aRun, Duration{}, patience);
+  // With room for few, most of those who return in time would be rejected
+  // again; they are spread over all the time that they would wait.
+  const Duration longest =
+    Scale(punctual, aLevel) + Scale(patience, 1.0 - aLevel);
+  const Duration spread = Scale(longest, 0.3 + 0.7 * UniformUnit(aRng));
+  return std::clamp(spread, std::min(kShortest, patience), patience);
+}
+
+} // namespace wagtailbend::exchange
--- /dev/null
+++ b/wagtailbend/http1/client_connection.cc
@@ -0,0 +1,288 @@
+#include "wagtailbend/http1/client_connection.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <utility>
+
+#include <asio/buffer.hpp>
+#include <asio/error.hpp>
+#include <asio/post.hpp>
+
+#include "wagtailbend/base/boot_time.h"
+#include "wagtailbend/net/socket_options.h"
+
+namespace wagtailbend::http1 {
+namespace {
+
+constexpr size_t kReadBytes = 16 * 1024;
+
+} // namespace
+
+ClientConnection::ClientConnection(asio::io_context& aIo, ParseLimits aLimits)
+  : m_socket(aIo)
+  , m_timer(aIo)
+  , m_writer(
+      m_socket,
+      [] {},
+      [this] { OnEnd("write-failed", false); })
+  , m_limits(aLimits)
+{
+}
+
+std::shared_ptr<ClientConnection>
+ClientConnection::Make(asio::io_context& aIo, ParseLimits aLimits)
+{
+  return std::shared_ptr<ClientConnection>(new ClientConnection(aIo, aLimits));
+}
+
+void
+ClientConnection::Connect(const asio::ip::tcp::endpoint& aEndpoint,
+                          Duration aTimeout,
+                          Duration aSilence,
+                          std::function<void(bool)> aDone)
+{
+  m_state = State::kConnecting;
+  m_onConnected = std::move(aDone);
+  StartTimer(aTimeout, "connect-timeout");
+  m_socket.async_connect(
+    aEndpoint,
+    [self = shared_from_this(), aSilence](const std::error_code& aCode) {
+      if (self->m_state != State::kConnecting) {
+        return;
+      }
+      if (aCode) {
+        self->OnEnd("connect-failed", false);
+        return;
+      }
+      self->m_timer.cancel();
+      net::ConfigureStream(self->m_socket, aSilence);
+      self->m_state = State::kIdle;
+      self->m_idleSince = BootNow();
+      self->WaitReadable();
+      std::exchange(self->m_onConnected, nullptr)(true);
+    });
+}
+
+void
+ClientConnection::Send(ClientRequest aRequest,
+                       std::function<void(ClientResult)> aDone)
+{
+  m_state = State::kBusy;
+  m_request = std::move(aRequest);
+  m_onResult = std::move(aDone);
+  m_onIdleClosed = nullptr;
+  m_sentBefore = m_writer.Sent();
+  m_foreign = 0;
+  m_started = false;
+  m_parser =
+    std::make_unique<ResponseParser>(m_limits, m_request.isHead);
+  if (m_request.timeout > Duration{}) {
+    StartTimer(m_request.timeout, "no-answer-in-time");
+  }
+  m_writer.Write(std::exchange(m_request.bytes, {}), shared_from_this());
+  WaitReadable();
+}
+
+void
+ClientConnection::Close()
+{
+  m_state = State::kClosed;
+  m_onConnected = nullptr;
+  m_onResult = nullptr;
+  m_onIdleClosed = nullptr;
+  m_timer.cancel();
+  std::error_code ignored;
+  m_socket.close(ignored);
+}
+
+void
+ClientConnection::OnIdleClosed(std::function<void()> aClosed)
+{
+  m_onIdleClosed = std::move(aClosed);
+}
+
+void
+ClientConnection::WaitReadable()
+{
+  if (m_waiting || m_state == State::kClosed) {
+    return;
+  }
+  m_waiting = true;
+  m_socket.async_wait(asio::ip::tcp::socket::wait_read,
+                      [self = shared_from_this()](const std::error_code& aCode) {
+                        self->m_waiting = false;
+                        if (aCode) {
+                          self->OnEnd("connection-lost", false);
+                        } else {
+                          self->OnReadable();
+                        }
+                      });
+}
+
+void
+ClientConnection::OnReadable()
+{
+  if (m_state == State::kClosed) {
+    return;
+  }
+  static thread_local std::array<char, kReadBytes> scratch;
+  std::error_code code;
+  const size_t count = m_socket.read_some(asio::buffer(scratch), code);
+  if (code == asio::error::would_block || code == asio::error::try_again) {
+    WaitReadable();
+    return;
+  }
+  if (code) {
+    OnEnd("connection-lost", code == asio::error::eof);
+    return;
+  }
+  if (m_state == State::kIdle) {
+    // Bytes that answer no request: the connection cannot be trusted.
+    OnEnd("unexpected-bytes", false);
+    return;
+  }
+  m_input.append(scratch.data(), count);
+  if (Consume()) {
+    WaitReadable();
+  }
+}
+
+bool
+ClientConnection::Consume()
+{
+  while (!m_input.empty()) {
+    m_started = true;
+    const Progress progress = m_parser->Feed(m_input);
+    m_input.erase(0, progress.consumed);
+    if (progress.state == ParseState::kHead ||
+        progress.state == ParseState::kBody) {
+      return true;
+    }
+    if (progress.state != ParseState::kComplete) {
+      OnEnd("malformed-response", false);
+      return false;
+    }
+    if (TakeResponse()) {
+      return false;
+    }
+  }
+  return true;
+}
+
+bool
+ClientConnection::TakeResponse()
+{
+  const bool keep = m_parser->KeepAlive();
+  Answer answer;
+  answer.response = m_parser->TakeMessage();
+  answer.foreign = m_foreign;
+  const bool informational = answer.response.status / 100 == 1;
+  const std::string* id =
+    FindHeader(answer.response.headers, m_request.idHeader);
+  const bool own =
+    m_request.idHeader.empty() || (id != nullptr && *id == m_request.id);
+  if (own && !informational) {
+    NoteKeepAlive(answer.response.headers);
+    Finish(std::move(answer), keep);
+    return true;
+  }
+  if (!informational) {
+    ++m_foreign;
+  }
+  if (!keep) {
+    OnEnd("foreign-response", false);
+    return true;
+  }
+  m_parser = std::make_unique<ResponseParser>(m_limits, m_request.isHead);
+  m_started = false;
+  return false;
+}
+
+void
+ClientConnection::OnEnd(std::string_view aReason, bool aOrderly)
+{
+  if (m_state == State::kClosed) {
+    return;
+  }
+  if (m_state == State::kConnecting) {
+    auto done = std::exchange(m_onConnected, nullptr);
+    Close();
+    asio::post(m_socket.get_executor(),
+               [done = std::move(done)] { done(false); });
+    return;
+  }
+  if (m_state == State::kIdle) {
+    auto closed = std::exchange(m_onIdleClosed, nullptr);
+    Close();
+    if (closed) {
+      closed();
+    }
+    return;
+  }
+  if (aOrderly && m_parser->FeedEnd() == ParseState::kComplete) {
+    TakeResponse();
+    return;
+  }
+  NoAnswer none;
+  none.sent = m_writer.Sent() > m_sentBefore;
+  none.partial = m_started;
+  none.reason = aReason;
+  Finish(none, false);
+}
+
+void
+ClientConnection::Finish(ClientResult aResult, bool aKeep)
+{
+  auto done = std::exchange(m_onResult, nullptr);
+  m_timer.cancel();
+  m_parser.reset();
+  // Bytes behind the response, or a request that the server answered before
+  // it was sent in full, would be taken for part of the next exchange.
+  if (aKeep && m_input.empty() && m_writer.Pending() == 0) {
+    m_state = State::kIdle;
+    m_idleSince = BootNow();
+    WaitReadable();
+  } else {
+    Close();
+  }
+  if (done) {
+    done(std::move(aResult));
+  }
+}
+
+void
+ClientConnection::StartTimer(Duration aTimeout, std::string_view aReason)
+{
+  m_timer.expires_after(aTimeout);
+  m_timer.async_wait(
+    [weak = weak_from_this(), aReason](const std::error_code& aCode) {
+      const auto self = weak.lock();
+      if (!aCode && self) {
+        self->OnEnd(aReason, false);
+      }
+    });
+}
+
+void
+ClientConnection::NoteKeepAlive(const Headers& aHeaders)
+{
+  const std::string* value = FindHeader(aHeaders, "Keep-Alive");
+  if (value == nullptr) {
+    return;
+  }
+  constexpr std::string_view kKey = "timeout=";
+  const size_t at = value->find(kKey);
+  if (at == std::string::npos) {
+    return;
+  }
+  uint32_t seconds = 0;
+  const char* begin = value->data() + at + kKey.size();
+  const auto [end, error] =
+    std::from_chars(begin, value->data() + value->size(), seconds);
+  if (error == std::errc{} && end != begin) {
+    m_keepAliveTime = std::chrono::seconds(seconds);
+  }
+}
+
+} // namespace wagtailbend::http1
--- /dev/null
+++ b/wagtailbend/http1/parser.cc
@@ -0,0 +1,309 @@
+// Boost.Asio (which Beast includes) and standalone Asio cannot be included in
+// one source file, so sockets stay out of this one.
+
+#include "wagtailbend/http1/parser.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/basic_parser.hpp>
+#include <boost/beast/http/error.hpp>
+
+namespace wagtailbend::http1 {
+namespace {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using ErrorCode = beast::error_code;
+
+std::string_view
+View(beast::string_view aText)
+{
+  return { aText.data(), aText.size() };
+}
+
+void
+Fail(ErrorCode& aCode, http::error aError)
+{
+  aCode = http::make_error_code(aError);
+}
+
+ParseState
+StateOf(const ErrorCode& aCode)
+{
+  if (aCode == http::make_error_code(http::error::header_limit) ||
+      aCode == http::make_error_code(http::error::buffer_overflow)) {
+    return ParseState::kHeaderTooLarge;
+  }
+  if (aCode == http::make_error_code(http::error::body_limit)) {
+    return ParseState::kBodyTooLarge;
+  }
+  return ParseState::kMalformed;
+}
+
+/// Collects headers and body; shared by both directions.
+template<bool isRequest>
+class Collector : public http::basic_parser<isRequest>
+{
+public:
+  explicit Collector(ParseLimits aLimits)
+  {
+    this->header_limit(aLimits.maxHeaderBytes);
+    this->body_limit(aLimits.maxBodyBytes);
+    this->eager(true);
+  }
+
+  Progress FeedBytes(std::string_view aBytes)
+  {
+    Progress progress;
+    ErrorCode code;
+    while (progress.consumed < aBytes.size() && !this->is_done()) {
+      const std::string_view rest = aBytes.substr(progress.consumed);
+      const size_t used =
+        this->put(boost::asio::buffer(rest.data(), rest.size()), code);
+      progress.consumed += used;
+      if (code == http::make_error_code(http::error::need_more)) {
+        code = {};
+        if (used == 0) {
+          break;
+        }
+        continue;
+      }
+      if (code) {
+        progress.state = StateOf(code);
+        return progress;
+      }
+    }
+    progress.state = State();
+    return progress;
+  }
+
+  ParseState State() const
+  {
+    if (this->is_done()) {
+      return ParseState::kComplete;
+    }
+    return this->is_header_done() ? ParseState::kBody : ParseState::kHead;
+  }
+
+  Headers m_headers;
+  std::string m_body;
+  bool m_expectsContinue = false;
+
+protected:
+  bool IsInHead() const { return !m_headDone; }
+
+private:
+  void on_field_impl(http::field aField,
+                     beast::string_view aName,
+                     beast::string_view aValue,
+                     ErrorCode& aCode) override
+  {
+    if (m_headDone) {
+      return;
+    }
+    if (aField == http::field::transfer_encoding) {
+      m_coded = true;
+      if (!EqualsIgnoreCase(View(aValue), "chunked")) {
+        Fail(aCode, http::error::bad_transfer_encoding);
+      }
+    }
+    m_sized = m_sized || aField == http::field::content_length;
+    if (m_sized && m_coded) {
+      Fail(aCode, http::error::bad_transfer_encoding);
+    }
+    if (aField == http::field::host && std::exchange(m_hasHost, true)) {
+      Fail(aCode, http::error::bad_value);
+    }
+    if (aField == http::field::expect &&
+        EqualsIgnoreCase(View(aValue), "100-continue")) {
+      m_expectsContinue = true;
+    }
+    m_headers.push_back(
+      { std::string(View(aName)), std::string(View(aValue)) });
+  }
+
+  void on_header_impl(ErrorCode& aCode) override
+  {
+    aCode = {};
+    m_headDone = true;
+  }
+
+  void on_body_init_impl(const boost::optional<std::uint64_t>& /*aLength*/,
+                         ErrorCode& aCode) override
+  {
+    aCode = {};
+  }
+
+  std::size_t on_body_impl(beast::string_view aBody, ErrorCode& aCode) override
+  {
+    aCode = {};
+    m_body.append(aBody.data(), aBody.size());
+    return aBody.size();
+  }
+
+  void on_chunk_header_impl(std::uint64_t /*aSize*/,
+                            beast::string_view /*aExtensions*/,
+                            ErrorCode& aCode) override
+  {
+    aCode = {};
+  }
+
+  std::size_t on_chunk_body_impl(std::uint64_t /*aRemain*/,
+                                 beast::string_view aBody,
+                                 ErrorCode& aCode) override
+  {
+    aCode = {};
+    m_body.append(aBody.data(), aBody.size());
+    return aBody.size();
+  }
+
+  void on_finish_impl(ErrorCode& aCode) override { aCode = {}; }
+
+  bool m_headDone = false;
+  bool m_coded = false;
+  bool m_sized = false;
+  bool m_hasHost = false;
+};
+
+} // namespace
+
+class RequestParser::Impl : public Collector<true>
+{
+public:
+  using Collector::Collector;
+
+  std::string m_method;
+  std::string m_target;
+
+private:
+  void on_request_impl(http::verb /*aVerb*/,
+                       beast::string_view aMethod,
+                       beast::string_view aTarget,
+                       int /*aVersion*/,
+                       ErrorCode& aCode) override
+  {
+    aCode = {};
+    m_method = View(aMethod);
+    m_target = View(aTarget);
+  }
+
+  void on_response_impl(int, beast::string_view, int, ErrorCode&) override {}
+};
+
+RequestParser::RequestParser(ParseLimits aLimits)
+  : m_impl(std::make_unique<Impl>(aLimits))
+{
+}
+
+RequestParser::~RequestParser() = default;
+
+Progress
+RequestParser::Feed(std::string_view aBytes)
+{
+  return m_impl->FeedBytes(aBytes);
+}
+
+RequestMessage
+RequestParser::TakeMessage()
+{
+  RequestMessage message{ std::move(m_impl->m_method),
+                          std::move(m_impl->m_target),
+                          std::move(m_impl->m_headers),
+                          std::move(m_impl->m_body) };
+  RemoveHeader(message.headers, "Content-Length");
+  RemoveHeader(message.headers, "Transfer-Encoding");
+  return message;
+}
+
+bool
+RequestParser::KeepAlive() const
+{
+  return m_impl->keep_alive();
+}
+
+bool
+RequestParser::ExpectsContinue() const
+{
+  return m_impl->m_expectsContinue;
+}
+
+class ResponseParser::Impl : public Collector<false>
+{
+public:
+  Impl(ParseLimits aLimits, bool aToHead)
+    : Collector(aLimits)
+    , m_toHead(aToHead)
+  {
+    skip(aToHead);
+  }
+
+  int m_status = 0;
+  std::string m_reason;
+  const bool m_toHead;
+
+private:
+  void on_request_impl(http::verb,
+                       beast::string_view,
+                       beast::string_view,
+                       int,
+                       ErrorCode&) override
+  {
+  }
+
+  void on_response_impl(int aStatus,
+                        beast::string_view aReason,
+                        int /*aVersion*/,
+                        ErrorCode& aCode) override
+  {
+    aCode = {};
+    m_status = aStatus;
+    m_reason = View(aReason);
+  }
+};
+
+ResponseParser::ResponseParser(ParseLimits aLimits, bool aToHead)
+  : m_impl(std::make_unique<Impl>(aLimits, aToHead))
+{
+}
+
+ResponseParser::~ResponseParser() = default;
+
+Progress
+ResponseParser::Feed(std::string_view aBytes)
+{
+  return m_impl->FeedBytes(aBytes);
+}
+
+ParseState
+ResponseParser::FeedEnd()
+{
+  if (m_impl->State() != ParseState::kBody || !m_impl->need_eof()) {
+    return ParseState::kMalformed;
+  }
+  ErrorCode code;
+  m_impl->put_eof(code);
+  return code ? ParseState::kMalformed : ParseState::kComplete;
+}
+
+ResponseMessage
+ResponseParser::TakeMessage()
+{
+  ResponseMessage message;
+  message.status = m_impl->m_status;
+  message.reason = std::move(m_impl->m_reason);
+  message.headers = std::move(m_impl->m_headers);
+  message.body = std::move(m_impl->m_body);
+  message.bodiless = m_impl->m_toHead;
+  if (!message.bodiless) {
+    RemoveHeader(message.headers, "Content-Length");
+  }
+  RemoveHeader(message.headers, "Transfer-Encoding");
+  return message;
+}
+
+bool
+ResponseParser::KeepAlive() const
+{
+  return m_impl->keep_alive() && !m_impl->need_eof();
+}
+
+} // namespace wagtailbend::http1
--- /dev/null
+++ b/wagtailbend/http1/server.cc
@@ -0,0 +1,128 @@
+#include "wagtailbend/http1/server.h"
+
+#include <utility>
+
+#include <asio/error.hpp>
+
+#include "wagtailbend/http1/internal/server_connection.h"
+
+namespace wagtailbend::http1 {
+namespace {
+
+constexpr int kBacklog = 1024;
+// Pause after accept failed, for instance for want of descriptors.
+constexpr Duration kAcceptPause = std::chrono::milliseconds(50);
+
+} // namespace
+
+Responder::Responder(std::weak_ptr<ServerConnection> aConnection,
+                     uint64_t aRequest)
+  : m_connection(std::move(aConnection))
+  , m_request(aRequest)
+{
+}
+
+void
+Responder::Respond(const ResponseMessage& aResponse) const
+{
+  if (const auto connection = m_connection.lock()) {
+    connection->Respond(m_request, aResponse);
+  }
+}
+
+void
+Responder::OnGone(std::function<void()> aGone) const
+{
+  if (const auto connection = m_connection.lock()) {
+    connection->OnGone(m_request, std::move(aGone));
+  }
+}
+
+asio::ip::address
+Responder::Remote() const
+{
+  const auto connection = m_connection.lock();
+  return connection ? connection->Remote() : asio::ip::address{};
+}
+
+Server::Server(asio::io_context& aIo,
+               RequestHandler& aHandler,
+               const ServerLimits& aLimits)
+  : m_io(aIo)
+  , m_handler(aHandler)
+  , m_limits(aLimits)
+{
+}
+
+Result<Done>
+Server::Listen(const asio::ip::tcp::endpoint& aEndpoint)
+{
+  auto listener = std::make_shared<Listener>(m_io);
+  std::error_code code;
+  listener->acceptor.open(aEndpoint.protocol(), code);
+  if (!code) {
+    std::error_code ignored;
+    listener->acceptor.set_option(asio::socket_base::reuse_address(true),
+                                  ignored);
+    listener->acceptor.bind(aEndpoint, code);
+  }
+  if (!code) {
+    listener->acceptor.listen(kBacklog, code);
+  }
+  if (code) {
+    return Error{ ErrorKind::kInvalidRequest,
+                  "cannot listen on " + aEndpoint.address().to_string() + ":" +
+                    std::to_string(aEndpoint.port()) + ": " + code.message() };
+  }
+  m_listeners.push_back(listener);
+  Accept(listener);
+  return Done{};
+}
+
+void
+Server::Accept(const std::shared_ptr<Listener>& aListener)
+{
+  aListener->acceptor.async_accept([this, aListener](
+                                     const std::error_code& aCode,
+                                     asio::ip::tcp::socket aSocket) {
+    if (aCode == asio::error::operation_aborted ||
+        !aListener->acceptor.is_open()) {
+      return;
+    }
+    if (aCode) {
+      aListener->retry.expires_after(kAcceptPause);
+      aListener->retry.async_wait([this, aListener](const std::error_code& aEnd) {
+        if (!aEnd && aListener->acceptor.is_open()) {
+          Accept(aListener);
+        }
+      });
+      return;
+    }
+    if (m_connections.size() >= m_limits.maxConnections) {
+      ++m_counts.rejectedConnections;
+    } else {
+      ++m_counts.accepted;
+      auto connection =
+        std::make_shared<ServerConnection>(*this, std::move(aSocket));
+      m_connections.insert(connection);
+      connection->Start();
+    }
+    Accept(aListener);
+  });
+}
+
+void
+Server::CloseIdle()
+{
+  for (const auto& listener : m_listeners) {
+    std::error_code ignored;
+    listener->acceptor.close(ignored);
+  }
+  m_listeners.clear();
+  const auto connections = m_connections;
+  for (const auto& connection : connections) {
+    connection->CloseIfIdle();
+  }
+}
+
+} // namespace wagtailbend::http1
--- /dev/null
+++ b/wagtailbend/mesh/convert.cc
@@ -0,0 +1,345 @@
+#include "wagtailbend/mesh/convert.h"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+namespace wagtailbend::mesh {
+namespace {
+
+constexpr double kPermille = 1000.0;
+
+uint32_t
+ToMicroseconds(Duration aDuration)
+{
+  const auto micros =
+    std::chrono::duration_cast<std::chrono::microseconds>(aDuration).count();
+  return static_cast<uint32_t>(std::clamp<int64_t>(
+    micros, 0, std::numeric_limits<uint32_t>::max()));
+}
+
+Duration
+FromMicroseconds(uint32_t aMicros)
+{
+  return std::chrono::microseconds(aMicros);
+}
+
+uint32_t
+ToPermille(double aShare)
+{
+  return static_cast<uint32_t>(std::clamp(aShare, 0.0, 1.0) * kPermille + 0.5);
+}
+
+uint32_t
+ToMs(Duration aDuration)
+{
+  return static_cast<uint32_t>(std::max<int64_t>(ToMilliseconds(aDuration), 0));
+}
+
+template<typename Message>
+void
+FillHeaders(const http1::Headers& aHeaders, Message& aMessage)
+{
+  for (const http1::Header& header : aHeaders) {
+    wire::Header* added = aMessage.add_headers();
+    added->set_name(header.name);
+    added->set_value(header.value);
+  }
+}
+
+template<typename Message>
+http1::Headers
+TakeHeaders(Message& aMessage)
+{
+  http1::Headers headers;
+  headers.reserve(static_cast<size_t>(aMessage.headers_size()));
+  for (wire::Header& header : *aMessage.mutable_headers()) {
+    headers.push_back({ std::move(*header.mutable_name()),
+                        std::move(*header.mutable_value()) });
+  }
+  return headers;
+}
+
+} // namespace
+
+wire::MemberRecord
+ToProto(const Member& aMember)
+{
+  wire::MemberRecord record;
+  record.set_address(aMember.address);
+  record.set_incarnation(aMember.incarnation);
+  record.set_started_ms(aMember.startedMs);
+  record.set_failure_domain(aMember.failureDomain);
+  record.set_region(aMember.region);
+  record.set_service(aMember.service);
+  record.set_revision(aMember.revision);
+  record.set_accepting(aMember.accepting);
+  record.set_slots(aMember.slots);
+  record.set_leaving_target(aMember.leaving.id);
+  record.set_leaving_born_ms(aMember.leaving.bornMs);
+  return record;
+}
+
+Member
+FromProto(const wire::MemberRecord& aRecord)
+{
+  Member member;
+  member.address = aRecord.address();
+  member.incarnation = aRecord.incarnation();
+  member.startedMs = aRecord.started_ms();
+  member.failureDomain = aRecord.failure_domain();
+  member.region = aRecord.region();
+  member.service = aRecord.service();
+  member.revision = aRecord.revision();
+  member.accepting = aRecord.accepting();
+  member.slots = aRecord.slots();
+  member.leaving = { aRecord.leaving_target(), aRecord.leaving_born_ms() };
+  return member;
+}
+
+wire::GateReport
+ToProto(const exchange::LoadReport& aReport)
+{
+  wire::GateReport report;
+  report.set_accepting(aReport.accepting);
+  report.set_slots(aReport.slots);
+  report.set_running(aReport.running);
+  report.set_queued(aReport.queued);
+  report.set_wait_us(ToMicroseconds(aReport.wait));
+  report.set_run_us(ToMicroseconds(aReport.run));
+  for (const double share : aReport.admit) {
+    report.add_admit_permille(ToPermille(share));
+  }
+  report.set_config_version(aReport.configVersion);
+  report.set_failure_permille(ToPermille(aReport.failureShare));
+  return report;
+}
+
+exchange::LoadReport
+FromProto(const wire::GateReport& aReport)
+{
+  exchange::LoadReport report;
+  report.accepting = aReport.accepting();
+  report.slots = aReport.slots();
+  report.running = aReport.running();
+  report.queued = aReport.queued();
+  report.wait = FromMicroseconds(aReport.wait_us());
+  report.run = FromMicroseconds(aReport.run_us());
+  const size_t shares =
+    std::min<size_t>(report.admit.size(),
+                     static_cast<size_t>(aReport.admit_permille_size()));
+  for (size_t i = 0; i < shares; ++i) {
+    report.admit[i] = aReport.admit_permille(static_cast<int>(i)) / kPermille;
+  }
+  report.configVersion = aReport.config_version();
+  report.failureShare = aReport.failure_permille() / kPermille;
+  return report;
+}
+
+void
+Fill(const exchange::Attempt& aAttempt, TimePoint aNow, wire::Attempt& aMessage)
+{
+  const http1::RequestMessage& message = *aAttempt.message;
+  aMessage.set_id(aAttempt.id);
+  aMessage.set_request_id(aAttempt.requestId);
+  aMessage.set_method(message.method);
+  aMessage.set_target(message.target);
+  FillHeaders(message.headers, aMessage);
+  aMessage.set_body(message.body);
+  aMessage.set_service(aAttempt.service);
+  aMessage.set_route(aAttempt.route);
+  aMessage.set_idempotent(aAttempt.idempotent);
+  aMessage.set_priority(aAttempt.priority);
+  aMessage.set_rank(aAttempt.rank);
+  aMessage.set_nested(aAttempt.nested);
+  aMessage.set_repeat(aAttempt.repeat);
+  aMessage.set_remaining_ms(ToMs(aAttempt.deadline - aNow));
+  aMessage.set_objective_ms(
+    static_cast<int32_t>(ToMilliseconds(aAttempt.objective - aNow)));
+  aMessage.set_caller_service(aAttempt.callerService);
+  aMessage.set_fingerprint(aAttempt.fingerprint);
+}
+
+exchange::Attempt
+Take(wire::Attempt& aMessage, TimePoint aNow)
+{
+  auto message = std::make_shared<http1::RequestMessage>();
+  message->method = std::move(*aMessage.mutable_method());
+  message->target = std::move(*aMessage.mutable_target());
+  message->headers = TakeHeaders(aMessage);
+  message->body = std::move(*aMessage.mutable_body());
+  exchange::Attempt attempt;
+  attempt.id = aMessage.id();
+  attempt.requestId = aMessage.request_id();
+  attempt.message = std::move(message);
+  attempt.service = aMessage.service();
+  attempt.route = aMessage.route();
+  attempt.idempotent = aMessage.idempotent();
+  attempt.priority = aMessage.priority();
+  attempt.rank = aMessage.rank();
+  attempt.nested = aMessage.nested();
+  attempt.repeat = aMessage.repeat();
+  attempt.deadline = aNow + std::chrono::milliseconds(aMessage.remaining_ms());
+  attempt.objective = aNow + std::chrono::milliseconds(aMessage.objective_ms());
+  attempt.callerService = aMessage.caller_service();
+  attempt.fingerprint = aMessage.fingerprint();
+  return attempt;
+}
+
+void
+Fill(const exchange::AttemptResult& aResult, wire::Result& aMessage)
+{
+  switch (aResult.outcome) {
+    case exchange::Outcome::kAnswered:
+      aMessage.set_outcome(wire::Result::ANSWERED);
+      break;
+    case exchange::Outcome::kNotRun:
+      aMessage.set_outcome(wire::Result::NOT_RUN);
+      break;
+    case exchange::Outcome::kUnknown:
+      aMessage.set_outcome(wire::Result::UNKNOWN);
+      break;
+  }
+  if (aResult.outcome == exchange::Outcome::kAnswered) {
+    aMessage.set_status(static_cast<uint32_t>(aResult.response.status));
+    aMessage.set_reason(aResult.response.reason);
+    FillHeaders(aResult.response.headers, aMessage);
+    aMessage.set_body(aResult.response.body);
+    aMessage.set_bodiless(aResult.response.bodiless);
+  } else {
+    aMessage.set_error(std::string(AnswerFor(aResult.error.kind).name));
+    aMessage.set_detail(aResult.error.detail);
+  }
+  aMessage.set_arrived(aResult.arrived);
+  aMessage.set_nested_failed(aResult.nestedFailed);
+  aMessage.set_run_us(ToMicroseconds(aResult.run));
+  *aMessage.mutable_report() = ToProto(aResult.report);
+}
+
+exchange::AttemptResult
+Take(wire::Result& aMessage)
+{
+  exchange::AttemptResult result;
+  switch (aMessage.outcome()) {
+    case wire::Result::ANSWERED:
+      result.outcome = exchange::Outcome::kAnswered;
+      break;
+    case wire::Result::NOT_RUN:
+      result.outcome = exchange::Outcome::kNotRun;
+      break;
+    default:
+      result.outcome = exchange::Outcome::kUnknown;
+      break;
+  }
+  if (result.outcome == exchange::Outcome::kAnswered) {
+    result.response.status = static_cast<int>(aMessage.status());
+    result.response.reason = std::move(*aMessage.mutable_reason());
+    result.response.headers = TakeHeaders(aMessage);
+    result.response.body = std::move(*aMessage.mutable_body());
+    result.response.bodiless = aMessage.bodiless();
+  } else {
+    result.error = {
+      ErrorKindFromName(aMessage.error()).value_or(ErrorKind::kInternal),
+      std::move(*aMessage.mutable_detail())
+    };
+  }
+  result.arrived = aMessage.arrived();
+  result.nestedFailed = aMessage.nested_failed();
+  result.run = FromMicroseconds(aMessage.run_us());
+  result.report = FromProto(aMessage.report());
+  return result;
+}
+
+wire::RouteConfig
+ToProto(const routes::RouteConfig& aConfig)
+{
+  wire::RouteConfig message;
+  message.set_version(aConfig.version);
+  for (const routes::Route& route : aConfig.routes) {
+    wire::Route* added = message.add_routes();
+    added->set_name(route.name);
+    added->set_host(route.host);
+    added->set_prefix(route.prefix);
+    added->set_idempotent(route.idempotent);
+    added->set_bulk(route.bulk);
+    added->set_timeout_ms(ToMs(route.timeout));
+    added->set_objective_ms(ToMs(route.objective));
+    added->set_priority(route.priority);
+    added->set_max_attempts(route.maxAttempts);
+    for (const routes::Split& split : route.splits) {
+      wire::Split* part = added->add_splits();
+      part->set_service(split.service);
+      part->set_weight(split.weight);
+    }
+  }
+  for (const routes::ServiceEntry& service : aConfig.services) {
+    wire::ServiceRecord* added = message.add_services();
+    added->set_name(service.name);
+    added->set_health_path(service.healthPath);
+    added->set_connection_limit(service.connectionLimit);
+  }
+  message.set_max_header_bytes(aConfig.limits.maxHeaderBytes);
+  message.set_max_body_bytes(aConfig.limits.maxBodyBytes);
+  message.set_header_timeout_ms(ToMs(aConfig.limits.headerTimeout));
+  message.set_idle_timeout_ms(ToMs(aConfig.limits.idleTimeout));
+  return message;
+}
+
+routes::RouteConfig
+FromProto(const wire::RouteConfig& aConfig)
+{
+  routes::RouteConfig config;
+  config.version = aConfig.version();
+  for (const wire::Route& route : aConfig.routes()) {
+    routes::Route added;
+    added.name = route.name();
+    added.host = route.host();
+    added.prefix = route.prefix();
+    added.idempotent = route.idempotent();
+    added.bulk = route.bulk();
+    added.timeout = std::chrono::milliseconds(route.timeout_ms());
+    added.objective = std::chrono::milliseconds(route.objective_ms());
+    added.priority = route.priority();
+    added.maxAttempts = route.max_attempts();
+    for (const wire::Split& split : route.splits()) {
+      added.splits.push_back({ split.service(), split.weight() });
+    }
+    config.routes.push_back(std::move(added));
+  }
+  for (const wire::ServiceRecord& service : aConfig.services()) {
+    config.services.push_back(
+      { service.name(), service.health_path(), service.connection_limit() });
+  }
+  config.limits.maxHeaderBytes = aConfig.max_header_bytes();
+  config.limits.maxBodyBytes = aConfig.max_body_bytes();
+  config.limits.headerTimeout =
+    std::chrono::milliseconds(aConfig.header_timeout_ms());
+  config.limits.idleTimeout =
+    std::chrono::milliseconds(aConfig.idle_timeout_ms());
+  return config;
+}
+
+std::string
+Encode(const wire::Frame& aFrame)
+{
+  const size_t length = aFrame.ByteSizeLong();
+  std::string bytes;
+  bytes.reserve(kPrefixBytes + length);
+  for (int shift = 24; shift >= 0; shift -= 8) {
+    bytes.push_back(static_cast<char>((length >> shift) & 0xff));
+  }
+  aFrame.AppendToString(&bytes);
+  return bytes;
+}
+
+size_t
+FrameLength(std::string_view aBytes)
+{
+  size_t length = 0;
+  for (size_t i = 0; i < kPrefixBytes; ++i) {
+    length = (length << 8) | static_cast<unsigned char>(aBytes[i]);
+  }
+  return length;
+}
+
+} // namespace wagtailbend::mesh
--- /dev/null
+++ b/wagtailbend/node/config_watcher.cc
@@ -0,0 +1,136 @@
+#include "wagtailbend/node/config_watcher.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "wagtailbend/observability/event_log.h"
+
+namespace wagtailbend::node {
+namespace {
+
+// How long one call waits for a change. Long, because each call is billed; a
+// dead connection is noticed by probes, and a missed change by other daemons.
+constexpr Duration kFeedWait = std::chrono::seconds(10);
+constexpr Duration kFirstPause = std::chrono::milliseconds(200);
+constexpr Duration kMaxPause = std::chrono::milliseconds(1200);
+
+} // namespace
+
+ConfigWatcher::ConfigWatcher(store::Platform& aPlatform,
+                             ConfigSource aSource,
+                             OnConfig aOnConfig)
+  : m_platform(aPlatform)
+  , m_source(std::move(aSource))
+  , m_onConfig(std::move(aOnConfig))
+{
+}
+
+ConfigWatcher::~ConfigWatcher()
+{
+  Stop();
+}
+
+void
+ConfigWatcher::Start()
+{
+  m_thread = std::thread([this] { Run(); });
+}
+
+void
+ConfigWatcher::Stop()
+{
+  {
+    const std::lock_guard lock(m_mutex);
+    m_stopping = true;
+  }
+  m_wakeup.notify_all();
+  if (m_thread.joinable()) {
+    m_thread.join();
+  }
+}
+
+bool
+ConfigWatcher::Pause(Duration aDuration)
+{
+  std::unique_lock lock(m_mutex);
+  return !m_wakeup.wait_for(lock, aDuration, [this] { return m_stopping; });
+}
+
+void
+ConfigWatcher::Run()
+{
+  Duration pause = kFirstPause;
+  while (Pause(Duration{})) {
+    auto snapshot = m_platform.ReadTable(m_source.table);
+    const Error* error = GetError(snapshot);
+    NoteStore(error);
+    if (error == nullptr) {
+      pause = kFirstPause;
+      for (const store::Row& row : GetValue(snapshot).rows) {
+        Take(row.key, row.value);
+      }
+      if (!Follow(GetValue(snapshot).version)) {
+        continue;
+      }
+    }
+    if (!Pause(pause)) {
+      return;
+    }
+    pause = std::min(2 * pause, kMaxPause);
+  }
+}
+
+bool
+ConfigWatcher::Follow(uint64_t aVersion)
+{
+  uint64_t version = aVersion;
+  while (Pause(Duration{})) {
+    auto changes = m_platform.WaitForChanges(m_source.table, version, kFeedWait);
+    if (const Error* error = GetError(changes)) {
+      const bool lostHistory = error->kind == ErrorKind::kHistoryLost;
+      NoteStore(lostHistory ? nullptr : error);
+      return !lostHistory;
+    }
+    NoteStore(nullptr);
+    version = std::max(version, GetValue(changes).version);
+    for (const store::RowChange& change : GetValue(changes).changes) {
+      if (change.value) {
+        Take(change.key, *change.value);
+      }
+    }
+  }
+  return false;
+}
+
+void
+ConfigWatcher::Take(const std::string& aKey, const std::string& aValue)
+{
+  if (aKey != m_source.key) {
+    return;
+  }
+  auto config = m_source.decode(aValue);
+  if (const Error* error = GetError(config)) {
+    observability::Event("config_unreadable")
+      .Add("reason", error->detail)
+      .Warn();
+    return;
+  }
+  m_onConfig(GetValue(config));
+}
+
+void
+ConfigWatcher::NoteStore(const Error* aError)
+{
+  const bool lost = aError != nullptr;
+  if (lost == std::exchange(m_storeLost, lost)) {
+    return;
+  }
+  observability::Event event(lost ? "store_lost" : "store_regained");
+  event.Add("use", "configuration");
+  if (lost) {
+    event.Add("reason", aError->detail);
+  }
+  event.Info();
+}
+
+} // namespace wagtailbend::node
--- /dev/null
+++ b/wagtailbend/node/member_store.cc
@@ -0,0 +1,177 @@
+#include "wagtailbend/node/member_store.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "wagtailbend/mesh/convert.h"
+#include "wagtailbend/observability/event_log.h"
+
+namespace wagtailbend::node {
+namespace {
+
+constexpr const char* kTable = "wagtailbend_members";
+// Time between two reads of all rows. Daemons announce themselves to each
+// other; the rows are for those that could not be reached then.
+constexpr Duration kReadInterval = std::chrono::seconds(15);
+constexpr Duration kRetryPause = std::chrono::milliseconds(300);
+
+} // namespace
+
+MemberStore::MemberStore(store::Platform& aPlatform,
+                         std::string aOwnAddress,
+                         OnMembers aOnMembers)
+  : m_platform(aPlatform)
+  , m_ownAddress(std::move(aOwnAddress))
+  , m_onMembers(std::move(aOnMembers))
+{
+}
+
+MemberStore::~MemberStore()
+{
+  Stop();
+}
+
+void
+MemberStore::Start()
+{
+  m_thread = std::thread([this] { Run(); });
+}
+
+void
+MemberStore::Put(const mesh::Member& aMember, std::function<void()> aDone)
+{
+  {
+    const std::lock_guard lock(m_mutex);
+    m_wanted = mesh::ToProto(aMember).SerializeAsString();
+    if (aDone) {
+      m_waiting.push_back(std::move(aDone));
+    }
+  }
+  m_wakeup.notify_all();
+}
+
+void
+MemberStore::Remove()
+{
+  {
+    const std::lock_guard lock(m_mutex);
+    m_remove = true;
+  }
+  m_wakeup.notify_all();
+}
+
+void
+MemberStore::Stop()
+{
+  {
+    const std::lock_guard lock(m_mutex);
+    m_stopping = true;
+  }
+  m_wakeup.notify_all();
+  if (m_thread.joinable()) {
+    m_thread.join();
+  }
+}
+
+void
+MemberStore::Run()
+{
+  std::unique_lock lock(m_mutex);
+  bool readOnce = false;
+  Duration wait = kReadInterval;
+  while (!m_stopping) {
+    const bool wantsWork = m_remove || m_wanted.has_value();
+    if (!wantsWork && readOnce) {
+      const bool woken = m_wakeup.wait_for(lock, wait, [this] {
+        return m_stopping || m_remove || m_wanted.has_value();
+      });
+      if (!woken) {
+        lock.unlock();
+        ReadAll();
+        lock.lock();
+      }
+      continue;
+    }
+    if (m_remove) {
+      lock.unlock();
+      WriteOwn(std::nullopt);
+      return;
+    }
+    const std::optional<std::string> value = std::exchange(m_wanted, {});
+    auto waiting = std::exchange(m_waiting, {});
+    lock.unlock();
+    const bool stored = !value || WriteOwn(value);
+    if (stored) {
+      for (const auto& done : waiting) {
+        done();
+      }
+      if (!std::exchange(readOnce, true)) {
+        // After the own row stands, so that of two daemons that start together
+        // at least one sees the other.
+        ReadAll();
+      }
+    }
+    lock.lock();
+    if (!stored) {
+      if (!m_wanted) {
+        m_wanted = value;
+      }
+      m_waiting.insert(m_waiting.begin(), waiting.begin(), waiting.end());
+      m_wakeup.wait_for(lock, kRetryPause, [this] { return m_stopping; });
+    }
+  }
+}
+
+bool
+MemberStore::WriteOwn(const std::optional<std::string>& aValue)
+{
+  if (!m_versionKnown) {
+    auto row = m_platform.ReadRow(kTable, m_ownAddress);
+    if (!IsOk(row)) {
+      return false;
+    }
+    const auto& found = GetValue(row);
+    m_version =
+      found ? std::optional<uint64_t>(found->version) : std::nullopt;
+    m_versionKnown = true;
+    if (!found && !aValue) {
+      return true;
+    }
+  }
+  store::TransactRequest request;
+  request.conditions.push_back({ kTable, m_ownAddress, m_version });
+  request.writes.push_back({ kTable, m_ownAddress, aValue });
+  const store::TransactResult result = m_platform.Transact(request);
+  if (const auto* committed = std::get_if<store::Committed>(&result)) {
+    m_version = aValue ? std::optional<uint64_t>(committed->versions.front())
+                       : std::nullopt;
+    return true;
+  }
+  // After a conflict or an unknown outcome the row is read again before the
+  // next try; the condition keeps an earlier write that is still on its way
+  // from taking effect after a later one.
+  m_versionKnown = std::holds_alternative<store::Refused>(result);
+  return false;
+}
+
+void
+MemberStore::ReadAll()
+{
+  auto rows = m_platform.ListRows(kTable, "");
+  if (const Error* error = GetError(rows)) {
+    observability::Event("members_unread").Add("reason", error->detail).Info();
+    return;
+  }
+  std::vector<mesh::Member> members;
+  for (const store::Row& row : GetValue(rows)) {
+    mesh::wire::MemberRecord record;
+    if (!record.ParseFromString(row.value) || record.address() != row.key) {
+      observability::Event("member_unreadable").Add("key", row.key).Warn();
+      continue;
+    }
+    members.push_back(mesh::FromProto(record));
+  }
+  m_onMembers(members);
+}
+
+} // namespace wagtailbend::node
--- /dev/null
+++ b/wagtailbend/node/member_store.h
@@ -0,0 +1,66 @@
+// Keeps this daemon's row in the store and reads those of the others.
+//
+//   MemberStore members(platform, onMembers);
+//   members.Start();
+//   members.Put(self, [](bool aStored) { ... });
+
+#pragma once
+
+#include <condition_variable>
+#include <functional>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "wagtailbend/mesh/member.h"
+#include "wagtailbend/store/platform.h"
+
+namespace wagtailbend::node {
+
+/// A thread of its own makes all calls, one at a time. The platform must
+/// outlive it. Put, Remove and Stop are thread-safe.
+class MemberStore
+{
+public:
+  /// Called on the store's thread with all rows but those that can't be read.
+  using OnMembers = std::function<void(const std::vector<mesh::Member>&)>;
+
+  MemberStore(store::Platform& aPlatform,
+              std::string aOwnAddress,
+              OnMembers aOnMembers);
+  ~MemberStore();
+  MemberStore(const MemberStore&) = delete;
+  MemberStore& operator=(const MemberStore&) = delete;
+
+  void Start();
+  /// Stores a newer record. aDone is called on the store's thread when it or a
+  /// later one is stored. Put is tried until it succeeds.
+  void Put(const mesh::Member& aMember, std::function<void()> aDone);
+  /// Deletes the row; for a planned stop. Tried once.
+  void Remove();
+  /// Call Platform::Interrupt first.
+  void Stop();
+
+private:
+  void Run();
+  bool WriteOwn(const std::optional<std::string>& aValue);
+  void ReadAll();
+
+  store::Platform& m_platform;
+  const std::string m_ownAddress;
+  const OnMembers m_onMembers;
+  std::mutex m_mutex;
+  std::condition_variable m_wakeup;
+  bool m_stopping = false;
+  bool m_remove = false;
+  std::optional<std::string> m_wanted;
+  std::vector<std::function<void()>> m_waiting;
+  /// Version of the own row; used by the store's thread only.
+  std::optional<uint64_t> m_version;
+  bool m_versionKnown = false;
+  std::thread m_thread;
+};
+
+} // namespace wagtailbend::node
--- /dev/null
+++ b/wagtailbend/node/traffic_metrics.h
@@ -0,0 +1,48 @@
+// Metrics of the traffic thread.
+
+#pragma once
+
+#include <array>
+#include <atomic>
+
+#include "wagtailbend/exchange/attempt.h"
+#include "wagtailbend/exchange/entry.h"
+#include "wagtailbend/exchange/target_gateway.h"
+#include "wagtailbend/observability/metrics.h"
+
+namespace wagtailbend::node {
+
+/// Written by the traffic thread, read by any.
+class TrafficMetrics
+{
+public:
+  explicit TrafficMetrics(observability::MetricsRegistry& aRegistry);
+
+  void Record(const exchange::RequestEnd& aEnd);
+  /// Stores the present state of the own target and of the links.
+  void Sample(const exchange::LoadReport& aReport,
+              const exchange::GatewayCounts& aCounts,
+              size_t aOpenRequests,
+              size_t aLinksUp,
+              size_t aMembers);
+
+private:
+  observability::MetricsRegistry& m_registry;
+  observability::DurationHistogram& m_clientLatency;
+  observability::DurationHistogram& m_nestedLatency;
+  std::atomic<double> m_running{ 0 };
+  std::atomic<double> m_queued{ 0 };
+  std::atomic<double> m_slots{ 0 };
+  std::atomic<double> m_waitMs{ 0 };
+  std::array<std::atomic<double>, gate::kClasses> m_admit{};
+  std::atomic<double> m_failureShare{ 0 };
+  std::atomic<double> m_openRequests{ 0 };
+  std::atomic<double> m_linksUp{ 0 };
+  std::atomic<double> m_members{ 0 };
+  std::atomic<double> m_sent{ 0 };
+  std::atomic<double> m_rejectedByTarget{ 0 };
+  std::atomic<double> m_unknown{ 0 };
+  std::atomic<double> m_connects{ 0 };
+};
+
+} // namespace wagtailbend::node
--- a/wagtailbend/platform/codec.cc
+++ b/wagtailbend/store/codec.cc
@@ -1,4 +1,4 @@
-#include "wagtailbend/platform/codec.h"
+#include "wagtailbend/store/codec.h"
 
 #include <cctype>
 
@@ -6,7 +6,7 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
-namespace wagtailbend::platform {
+namespace wagtailbend::store {
 namespace {
 
 using Json = nlohmann::json;
@@ -245,4 +245,4 @@
   return text;
 }
 
-} // namespace wagtailbend::platform
+} // namespace wagtailbend::store
--- a/wagtailbend/platform/codec.h
+++ b/wagtailbend/store/codec.h
@@ -9,9 +9,9 @@
 #include <string>
 #include <vector>
 
-#include "wagtailbend/platform/platform.h"
+#include "wagtailbend/store/platform.h"
 
-namespace wagtailbend::platform {
+namespace wagtailbend::store {
 
 // Each Decode function returns kInvalidRequest for a body that is not of the
 // expected form. Encode functions throw nothing; precondition: names and keys
@@ -61,4 +61,4 @@
 std::string
 PercentEncode(const std::string& aText);
 
-} // namespace wagtailbend::platform
+} // namespace wagtailbend::store
--- a/wagtailbend/platform/http_platform.cc
+++ b/wagtailbend/store/http_platform.cc
@@ -1,13 +1,13 @@
-#include "wagtailbend/platform/http_platform.h"
+#include "wagtailbend/store/http_platform.h"
 
 #include <regex>
 
 #include <fmt/format.h>
 #include <httplib.h>
 
-#include "wagtailbend/platform/codec.h"
+#include "wagtailbend/store/codec.h"
 
-namespace wagtailbend::platform {
+namespace wagtailbend::store {
 namespace {
 
 using Headers = httplib::Headers;
@@ -224,4 +224,4 @@
   return std::optional<std::string>(std::move(result->body));
 }
 
-} // namespace wagtailbend::platform
+} // namespace wagtailbend::store
--- a/wagtailbend/platform/http_platform.h
+++ b/wagtailbend/store/http_platform.h
@@ -9,9 +9,9 @@
 #include <memory>
 
 #include "wagtailbend/base/time.h"
-#include "wagtailbend/platform/platform.h"
+#include "wagtailbend/store/platform.h"
 
-namespace wagtailbend::platform {
+namespace wagtailbend::store {
 
 struct HttpOptions
 {
@@ -49,4 +49,4 @@
   HttpOptions m_options;
 };
 
-} // namespace wagtailbend::platform
+} // namespace wagtailbend::store
--- a/wagtailbend/platform/platform.h
+++ b/wagtailbend/store/platform.h
@@ -16,8 +16,9 @@
 #include <vector>
 
 #include "wagtailbend/base/result.h"
+#include "wagtailbend/base/time.h"
 
-namespace wagtailbend::platform {
+namespace wagtailbend::store {
 
 /// One row of a table. Versions come from one counter of the whole store, so
 /// a row that is deleted and written again never repeats a version.
@@ -111,6 +112,36 @@
 using TransactResult = std::variant<Committed, Conflict, Refused, Unknown>;
 using PutResult = std::variant<Done, Refused, Unknown>;
 
+/// All rows of a table at one moment.
+struct TableSnapshot
+{
+  std::vector<Row> rows;
+  /// Version of the store at that moment; continues with WaitForChanges.
+  uint64_t version = 0;
+
+  bool operator==(const TableSnapshot&) const = default;
+};
+
+/// A row that was written or, without a value, deleted.
+struct RowChange
+{
+  std::string key;
+  uint64_t version = 0;
+  std::optional<std::string> value;
+
+  bool operator==(const RowChange&) const = default;
+};
+
+struct TableChanges
+{
+  /// In the order of their versions.
+  std::vector<RowChange> changes;
+  /// Continues with the next WaitForChanges.
+  uint64_t version = 0;
+
+  bool operator==(const TableChanges&) const = default;
+};
+
 /// All calls block and are thread-safe. They belong on an I/O pool, never on
 /// the control thread or on a traffic thread.
 class Platform
@@ -132,6 +163,20 @@
   virtual Result<std::vector<Row>> ListRows(const std::string& aTable,
                                             const std::string& aPrefix) = 0;
 
+  /// Returns all rows of a table. Error kinds as ReadRow; kInvalidRequest also
+  /// from a platform without this call.
+  virtual Result<TableSnapshot> ReadTable(const std::string& aTable);
+
+  /// Returns the changes after aVersion as soon as there is one, or none after
+  /// aWait. Error kinds as ReadTable, and kHistoryLost if changes after
+  /// aVersion are no longer kept: read the table again.
+  virtual Result<TableChanges> WaitForChanges(const std::string& aTable,
+                                              uint64_t aVersion,
+                                              Duration aWait);
+
+  /// Ends calls that wait and makes later ones fail, for a stop of the process.
+  virtual void Interrupt() {}
+
   /// Stores or replaces an object.
   virtual PutResult PutObject(const std::string& aKey,
                               const std::string& aBytes) = 0;
@@ -141,4 +186,4 @@
     const std::string& aKey) = 0;
 };
 
-} // namespace wagtailbend::platform
+} // namespace wagtailbend::store
--- a/wagtailbend/platform/platform_test.cc
+++ b/wagtailbend/store/platform_test.cc
@@ -1,7 +1,7 @@
 // One table of cases runs against the in-memory fake and against the HTTP
 // client with a fake server on loopback, so that both keep the same contract.
 
-#include "wagtailbend/platform/platform.h"
+#include "wagtailbend/store/platform.h"
 
 #include <functional>
 
@@ -10,9 +10,9 @@
 #include <httplib.h>
 
 #include "testing/fakes/fake_platform_server.h"
-#include "wagtailbend/platform/http_platform.h"
+#include "wagtailbend/store/http_platform.h"
 
-namespace wagtailbend::platform {
+namespace wagtailbend::store {
 namespace {
 
 using testing::SizeIs;
@@ -275,4 +275,4 @@
 }
 
 } // namespace
-} // namespace wagtailbend::platform
+} // namespace wagtailbend::store
