Find the request that makes a call by its id or its deadline

Cause: clients and the target call from the same address, so every request counted as a call of the target: none was thinned at the entry and priorities were not inherited. Change: a running request is the parent if its id begins the call's id, or if the call expires with it.

--- a/wagtailbend/exchange/entry.cc
+++ b/wagtailbend/exchange/entry.cc
@@ -216,14 +216,12 @@
 void
 Entry::Inherit(Flow& aFlow)
 {
-  aFlow.nested = aFlow.responder.Remote() == m_options.ownAddress;
-  if (!aFlow.nested) {
-    return;
-  }
-  const auto parent = m_gateway.FindParent(aFlow.clientDeadline);
+  const auto parent =
+    m_gateway.FindParent(aFlow.requestId, aFlow.clientDeadline);
   if (!parent) {
     return;
   }
+  aFlow.nested = true;
   aFlow.parentKey = parent->key;
   aFlow.priority = parent->priority;
   aFlow.rank = parent->rank;
--- a/wagtailbend/exchange/entry.h
+++ b/wagtailbend/exchange/entry.h
@@ -18,7 +18,6 @@
 #include <vector>
 
 #include <asio/io_context.hpp>
-#include <asio/ip/address.hpp>
 #include <asio/steady_timer.hpp>
 
 #include "wagtailbend/base/rng.h"
@@ -36,8 +35,6 @@
 {
   /// Service of the own target, named to targets as the caller.
   std::string ownService;
-  /// Address of this VM: calls of the own target come from it.
-  asio::ip::address ownAddress;
   RetryTerms retries;
 };
 
--- a/wagtailbend/exchange/target_gateway.cc
+++ b/wagtailbend/exchange/target_gateway.cc
@@ -308,6 +308,7 @@
     item.started = true;
     item.deadlineMs = BootMs(now) + ToMilliseconds(item.attempt.deadline - now);
     item.byDeadline = m_byDeadline.emplace(item.deadlineMs, aKey);
+    m_byRequestId[item.attempt.requestId] = aKey;
   }
   http1::ClientRequest request;
   request.bytes = BytesFor(item, now);
@@ -463,6 +464,7 @@
   m_running.erase(aKey);
   if (item.started) {
     m_byDeadline.erase(item.byDeadline);
+    m_byRequestId.erase(item.attempt.requestId);
     aResult.run = now - item.startedAt;
   }
   aResult.nestedFailed = item.nestedFailed;
@@ -474,31 +476,61 @@
   Advance(now);
 }
 
-std::optional<RunningParent>
-TargetGateway::FindParent(TimePoint aDeadline) const
+std::optional<uint64_t>
+TargetGateway::FindByName(std::string_view aRequestId) const
+{
+  for (size_t dot = aRequestId.rfind('.'); dot != std::string_view::npos;
+       dot = dot == 0 ? dot : aRequestId.rfind('.', dot - 1)) {
+    const auto found =
+      m_byRequestId.find(std::string(aRequestId.substr(0, dot)));
+    if (found != m_byRequestId.end()) {
+      return found->second;
+    }
+    if (dot == 0) {
+      break;
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<uint64_t>
+TargetGateway::FindByDeadline(TimePoint aDeadline) const
 {
   const int64_t deadline = BootMs(aDeadline);
   auto next = m_byDeadline.lower_bound(deadline - kParentToleranceMs);
-  std::optional<RunningParent> best;
+  std::optional<uint64_t> best;
   int64_t bestDistance = kParentToleranceMs + 1;
   for (; next != m_byDeadline.end() &&
          next->first <= deadline + kParentToleranceMs;
        ++next) {
     const int64_t distance = std::abs(next->first - deadline);
-    if (distance >= bestDistance) {
-      continue;
+    if (distance < bestDistance) {
+      bestDistance = distance;
+      best = next->second;
     }
-    bestDistance = distance;
-    const Item& item = m_items.at(next->second);
-    best = RunningParent{ item.attempt.route,
-                          item.attempt.priority,
-                          item.attempt.rank,
-                          item.attempt.repeat,
-                          next->second };
   }
   return best;
 }
 
+std::optional<RunningParent>
+TargetGateway::FindParent(std::string_view aRequestId,
+                          TimePoint aDeadline) const
+{
+  std::optional<uint64_t> key = FindByName(aRequestId);
+  if (!key) {
+    key = FindByDeadline(aDeadline);
+  }
+  if (!key) {
+    return std::nullopt;
+  }
+  const Item& item = m_items.at(*key);
+  return RunningParent{ item.attempt.route,
+                        item.attempt.priority,
+                        item.attempt.rank,
+                        item.attempt.repeat,
+                        *key };
+}
+
 void
 TargetGateway::NoteNestedFailure(uint64_t aParentKey)
 {
--- a/wagtailbend/exchange/target_gateway.h
+++ b/wagtailbend/exchange/target_gateway.h
@@ -16,6 +16,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -104,9 +105,11 @@
   /// Decides queued requests; call it each 10 to 20 ms.
   void Tick(TimePoint aNow);
 
-  /// Returns the running request whose calls expire at aDeadline, if there is
-  /// one. Targets give their calls the deadline of the request that they run.
-  std::optional<RunningParent> FindParent(TimePoint aDeadline) const;
+  /// Returns the running request that made the call aRequestId, if there is
+  /// one. Some targets name a call after the request that makes it, with a dot
+  /// and more behind it; all of them give a call the deadline of that request.
+  std::optional<RunningParent> FindParent(std::string_view aRequestId,
+                                          TimePoint aDeadline) const;
   /// A call of that request failed.
   void NoteNestedFailure(uint64_t aParentKey);
 
@@ -136,6 +139,8 @@
   void Dispatch(uint64_t aKey);
   void SendOn(uint64_t aKey, const ConnectionPtr& aConnection);
   void Connect(uint64_t aKey);
+  std::optional<uint64_t> FindByName(std::string_view aRequestId) const;
+  std::optional<uint64_t> FindByDeadline(TimePoint aDeadline) const;
   ConnectionPtr TakeIdle(bool aFreshOnly);
   void KeepIdle(const ConnectionPtr& aConnection);
   std::string BytesFor(const Item& aItem, TimePoint aNow) const;
@@ -166,6 +171,8 @@
   /// Running requests by the deadline that the target was told, in
   /// milliseconds of the boot clock.
   std::multimap<int64_t, uint64_t> m_byDeadline;
+  /// Running requests by the client's id.
+  std::unordered_map<std::string, uint64_t> m_byRequestId;
   std::vector<ConnectionPtr> m_idle;
   size_t m_open = 0;
   TimePoint m_unreachableUntil{};
--- a/wagtailbend/node/traffic_node.cc
+++ b/wagtailbend/node/traffic_node.cc
@@ -54,7 +54,6 @@
 {
   exchange::EntryOptions options;
   options.ownService = aSettings.service;
-  options.ownAddress = asio::ip::make_address(aSettings.address);
   options.retries = { aSettings.retryRatio, aSettings.retryExtra };
   return options;
 }
