--- a/programs/wagtaild_http.cc
+++ b/programs/wagtaild_http.cc
@@ -77,7 +77,10 @@
     std::cerr << error->detail << '\n';
     return kRunTimeFailure;
   }
-  return daemon.Run();
+  const int status = daemon.Run();
+  // The grace period is shorter than a call to a store that does not answer,
+  // so the process does not wait for the threads that make such calls.
+  std::_Exit(status);
 }
 
 } // namespace
--- a/wagtailbend/node/node.cc
+++ b/wagtailbend/node/node.cc
@@ -182,13 +182,18 @@
   m_parts.platform->Interrupt();
   m_trafficIo.stop();
   m_trafficThread.join();
-  m_config.Stop();
-  m_members.Stop();
   Event("stopped").Add("status", m_status).Info();
   m_log.Flush();
   return m_status;
 }
 
+void
+Node::JoinStore()
+{
+  m_config.Stop();
+  m_members.Stop();
+}
+
 void
 Node::FlushLog()
 {
--- a/wagtailbend/node/node.h
+++ b/wagtailbend/node/node.h
@@ -53,7 +53,11 @@
   /// Error kind: kInvalidRequest, if an address cannot be bound.
   Result<Done> Start();
   /// Returns the exit status after a graceful stop: 0, or 1 if work was cut.
+  /// The threads of the store may still be inside a call, for as long as the
+  /// platform's time limits allow.
   int Run();
+  /// Waits for the threads of the store. Precondition: Run has returned.
+  void JoinStore();
 
   // Announcements
   void OnHeartbeat(const targets::Heartbeat& aHeartbeat,
