Send clients away that come long after SIGTERM; quarantine crashing requests

It took requests up to 5 s after SIGTERM and cut them at its exit. Ruled out: the answers themselves (the server was at work), links (none lost). Change: 2.3 s after SIGTERM clients' requests are rejected as not run; calls of requests that run at the own target are still served. Also: fingerprints of requests that run when a target dies go to all daemons; a suspect runs alone, one that killed two targets is rejected at the entry for 2 minutes.

--- a/wagtailbend/exchange/entry.cc
+++ b/wagtailbend/exchange/entry.cc
@@ -235,6 +235,10 @@
   if (aFlow->nested) {
     return true;
   }
+  if (m_rejectsClients) {
+    Reject(aFlow, ErrorKind::kDraining, "daemon leaves");
+    return false;
+  }
   const size_t group = gate::ClassOf(aFlow->priority);
   aFlow->admitLevel =
     m_directory.Admit(aFlow->service, aFlow->route->name)[group];
@@ -512,6 +516,7 @@
   m_flows.erase(aFlow->id);
   RequestEnd& end = aFlow->end;
   end.requestId = aFlow->requestId;
+  end.path = aFlow->message->target;
   end.route = aFlow->route == nullptr ? "" : aFlow->route->name;
   end.service = aFlow->service;
   end.targets = aFlow->arrivedAt;
--- a/wagtailbend/exchange/entry.h
+++ b/wagtailbend/exchange/entry.h
@@ -42,6 +42,7 @@
 struct RequestEnd
 {
   std::string requestId;
+  std::string path;
   std::string route;
   std::string service;
   /// Daemons whose targets were sent the request, in order.
@@ -84,6 +85,9 @@
   {
     return m_table;
   }
+  /// Clients' requests are rejected as not run from now on; calls of requests
+  /// that run at the own target are still served.
+  void RejectClients() { m_rejectsClients = true; }
   void SetDaemons(size_t aCount) { m_allowance.SetDaemons(aCount); }
 
   void OnRequest(http1::RequestMessage aRequest,
@@ -134,6 +138,7 @@
   RetryAllowance m_allowance;
   Rng m_rng;
   uint64_t m_lastId = 0;
+  bool m_rejectsClients = false;
   std::unordered_map<uint64_t, FlowPtr> m_flows;
   struct Called
   {
--- a/wagtailbend/exchange/target_gateway.cc
+++ b/wagtailbend/exchange/target_gateway.cc
@@ -218,8 +218,16 @@
 void
 TargetGateway::Dispatch(uint64_t aKey)
 {
-  m_running.insert(aKey);
   Item& item = m_items.at(aKey);
+  if (!m_observer.BeginRun(item.attempt.fingerprint)) {
+    AttemptResult result;
+    result.outcome = Outcome::kNotRun;
+    result.error = { ErrorKind::kQuarantined, "suspected of a crash" };
+    Complete(aKey, std::move(result), false);
+    return;
+  }
+  item.counted = true;
+  m_running.insert(aKey);
   if (ConnectionPtr idle = TakeIdle(!item.attempt.idempotent)) {
     item.reused = true;
     SendOn(aKey, idle);
@@ -462,6 +470,10 @@
   const TimePoint now = BootNow();
   Item& item = node.mapped();
   m_running.erase(aKey);
+  if (item.counted) {
+    m_observer.EndRun(item.attempt.fingerprint,
+                      aResult.outcome == Outcome::kAnswered);
+  }
   if (item.started) {
     m_byDeadline.erase(item.byDeadline);
     m_byRequestId.erase(item.attempt.requestId);
--- a/wagtailbend/exchange/target_gateway.h
+++ b/wagtailbend/exchange/target_gateway.h
@@ -57,6 +57,11 @@
   virtual ~GatewayObserver() = default;
   /// The target died with these requests running.
   virtual void OnTargetDied(const std::vector<uint64_t>& aFingerprints) = 0;
+  /// Returns false if the request must not run here now: it is quarantined,
+  /// or suspected of a crash while another suspect runs.
+  virtual bool BeginRun(uint64_t aFingerprint) = 0;
+  /// aSurvived: the target answered.
+  virtual void EndRun(uint64_t aFingerprint, bool aSurvived) = 0;
   /// Returns by priority class the share of new requests of a route that the
   /// services called by it have room for.
   virtual std::array<double, gate::kClasses> AdmitBelow(
@@ -114,6 +119,7 @@
   void NoteNestedFailure(uint64_t aParentKey);
 
   LoadReport Report(const std::string& aRoute);
+  /// Takes new requests, as far as target and daemon say.
   bool IsAccepting() const;
   const GatewayCounts& Counts() const { return m_counts; }
   size_t RunningCount() const { return m_running.size(); }
@@ -130,6 +136,8 @@
     TimePoint startedAt;
     ConnectionPtr connection;
     bool started = false;
+    /// The observer was told of the run.
+    bool counted = false;
     bool reused = false;
     bool nestedFailed = false;
     int64_t deadlineMs = 0;
--- a/wagtailbend/node/node.cc
+++ b/wagtailbend/node/node.cc
@@ -23,14 +23,15 @@
 // time, since it can serve with its own target.
 constexpr Duration kReadyWithoutMembers = std::chrono::seconds(3);
 // Clients stop sending after two unanswered questions for readiness, which
-// come once a second.
+// come once a second, unless most daemons of their failure domain are out as
+// well. A request that comes later could not be finished in the grace period.
 constexpr Duration kClientsLeave = std::chrono::milliseconds(2300);
 constexpr Duration kStopCheck = std::chrono::milliseconds(50);
 // Connections that were closed when idle get this time for what crossed the
 // close.
 constexpr Duration kCloseTime = std::chrono::milliseconds(200);
 // Kept of the grace period for the end of the process.
-constexpr Duration kExitReserve = std::chrono::milliseconds(500);
+constexpr Duration kExitReserve = std::chrono::milliseconds(700);
 constexpr Duration kLogFlush = std::chrono::milliseconds(200);
 
 http1::ServerLimits
@@ -388,7 +389,10 @@
         FinishStop();
         return;
       }
-      if (passed > kClientsLeave && open == 0 && !m_closedIdle) {
+      if (passed > kClientsLeave && !m_rejecting) {
+        m_rejecting = true;
+        asio::post(m_trafficIo, [this] { m_traffic.RejectClients(); });
+      } else if (m_rejecting && open == 0 && !m_closedIdle) {
         m_closedIdle = true;
         asio::post(m_trafficIo, [this] { m_traffic.CloseIdle(); });
       }
--- a/wagtailbend/node/node.h
+++ b/wagtailbend/node/node.h
@@ -110,6 +110,7 @@
   bool m_membersKnown = false;
   TimePoint m_startedAt;
   bool m_stopping = false;
+  bool m_rejecting = false;
   bool m_closedIdle = false;
   TimePoint m_stopAt{};
   int m_status = 0;
--- a/wagtailbend/node/traffic_log.cc
+++ b/wagtailbend/node/traffic_log.cc
@@ -16,6 +16,7 @@
   }
   observability::Event event(failed ? "request_failed" : "request_answered");
   event.Add("request", aEnd.requestId)
+    .Add("path", aEnd.path)
     .Add("route", aEnd.route)
     .Add("service", aEnd.service)
     .Add("status", aEnd.status)
--- a/wagtailbend/node/traffic_node.cc
+++ b/wagtailbend/node/traffic_node.cc
@@ -33,6 +33,12 @@
 // Of a larger service, the targets in other failure domains are sampled.
 constexpr size_t kMaxOptions = 16;
 
+// Requests that crash targets come again within minutes; a shorter life bounds
+// the harm to a request that was only present at two crashes.
+constexpr quarantine::QuarantineLimits kQuarantineLimits = {
+  .lifetime = std::chrono::minutes(2)
+};
+
 std::string
 AdmissionKey(const std::string& aService, const std::string& aRoute)
 {
@@ -133,6 +139,8 @@
   , m_peerServer(aIo, *this, m_gateway)
   , m_timer(aIo)
   , m_rng(MakeSeededRng())
+  , m_trialDaemons{ DaemonId{ m_self.address, aIncarnation } }
+  , m_quarantine(m_trialDaemons.front(), kQuarantineLimits)
 {
 }
 
@@ -377,8 +385,18 @@
 }
 
 void
-TrafficNode::OnSuspects(const std::vector<mesh::CrashSuspect>& /*aSuspects*/)
-{
+TrafficNode::OnSuspects(const std::vector<mesh::CrashSuspect>& aSuspects)
+{
+  std::vector<quarantine::Entry> entries;
+  for (const mesh::CrashSuspect& suspect : aSuspects) {
+    quarantine::Entry entry;
+    entry.fingerprint = suspect.fingerprint;
+    entry.losses = { 0, suspect.loss };
+    entry.remaining = kQuarantineLimits.lifetime;
+    entries.push_back(entry);
+  }
+  m_quarantine.Merge(entries, BootNow());
+  Event("crash_suspects").Add("count", entries.size()).Info();
 }
 
 void
@@ -519,6 +537,49 @@
 TrafficNode::OnTargetDied(const std::vector<uint64_t>& aFingerprints)
 {
   Event("target_died").Add("in_flight", aFingerprints.size()).Warn();
+  SpreadSuspects(
+    m_quarantine.OnTargetLost(aFingerprints, BootNow(), m_rng));
+}
+
+void
+TrafficNode::SpreadSuspects(const std::vector<quarantine::Entry>& aEntries)
+{
+  mesh::wire::Frame frame;
+  for (const quarantine::Entry& entry : aEntries) {
+    for (const uint64_t loss : entry.losses) {
+      if (loss == 0) {
+        continue;
+      }
+      mesh::wire::Suspect* suspect = frame.mutable_suspects()->add_suspects();
+      suspect->set_fingerprint(entry.fingerprint);
+      suspect->set_loss(loss);
+    }
+  }
+  for (const auto& [address, peer] : m_peers) {
+    peer->link->Send(frame);
+  }
+}
+
+bool
+TrafficNode::BeginRun(uint64_t aFingerprint)
+{
+  const TimePoint now = BootNow();
+  switch (m_quarantine.Check(aFingerprint, m_trialDaemons, now).kind) {
+    case quarantine::VerdictKind::kPass:
+      return true;
+    case quarantine::VerdictKind::kTrialHere:
+      return m_quarantine.BeginTrial(aFingerprint, m_trialDaemons, now);
+    case quarantine::VerdictKind::kTrialElsewhere:
+    case quarantine::VerdictKind::kQuarantined:
+      return false;
+  }
+  return false;
+}
+
+void
+TrafficNode::EndRun(uint64_t aFingerprint, bool aSurvived)
+{
+  m_quarantine.EndTrial(aFingerprint, aSurvived, BootNow());
 }
 
 std::array<double, gate::kClasses>
@@ -535,9 +596,10 @@
 }
 
 bool
-TrafficNode::MayRun(uint64_t /*aFingerprint*/)
+TrafficNode::MayRun(uint64_t aFingerprint)
 {
-  return true;
+  return m_quarantine.Check(aFingerprint, m_trialDaemons, BootNow()).kind !=
+         quarantine::VerdictKind::kQuarantined;
 }
 
 } // namespace wagtailbend::node
--- a/wagtailbend/node/traffic_node.h
+++ b/wagtailbend/node/traffic_node.h
@@ -27,6 +27,7 @@
 #include "wagtailbend/node/node_settings.h"
 #include "wagtailbend/node/traffic_metrics.h"
 #include "wagtailbend/node/traffic_log.h"
+#include "wagtailbend/quarantine/quarantine_list.h"
 #include "wagtailbend/routes/route_table.h"
 
 namespace wagtailbend::node {
@@ -68,6 +69,8 @@
   /// Starts a graceful stop: the own target takes nothing new, clients are
   /// asked to close their connections.
   void BeginStop();
+  /// Clients that still come are sent away at once.
+  void RejectClients() { m_entry.RejectClients(); }
   /// Stops listening and closes connections without a request.
   void CloseIdle() { m_server.CloseIdle(); }
   /// Requests and attempts that are not finished.
@@ -101,6 +104,8 @@
 
   // exchange::GatewayObserver
   void OnTargetDied(const std::vector<uint64_t>& aFingerprints) override;
+  bool BeginRun(uint64_t aFingerprint) override;
+  void EndRun(uint64_t aFingerprint, bool aSurvived) override;
   std::array<double, gate::kClasses> AdmitBelow(
     const std::string& aRoute) override;
 
@@ -151,6 +156,7 @@
                                    const std::string& aRoute,
                                    TimePoint aNow) const;
   void ApplyLimits(const routes::RouteConfig& aConfig);
+  void SpreadSuspects(const std::vector<quarantine::Entry>& aEntries);
 
   asio::io_context& m_io;
   const NodeSettings m_settings;
@@ -170,8 +176,10 @@
   std::unordered_map<std::string, std::vector<Peer*>> m_byService;
   /// By service and route.
   std::unordered_map<std::string, Admission> m_admissions;
-  uint32_t m_localSent = 0;
   Rng m_rng;
+  /// Requests that were running when targets died.
+  const std::vector<DaemonId> m_trialDaemons;
+  quarantine::QuarantineList m_quarantine;
 };
 
 } // namespace wagtailbend::node
