--- /dev/null
+++ b/wagtailbend/exchange/entry_test.cc
@@ -0,0 +1,400 @@
+#include "wagtailbend/exchange/entry.h"
+
+#include <gtest/gtest.h>
+
+#include <asio/read_until.hpp>
+#include <asio/write.hpp>
+
+#include "wagtailbend/base/boot_time.h"
+
+namespace wagtailbend::exchange {
+namespace {
+
+using std::chrono::milliseconds;
+
+http1::ProtocolNames
+Names()
+{
+  return { .requestId = "Id",
+           .deadlineMs = "Deadline",
+           .expectedTarget = "Expected",
+           .callerService = "Caller",
+           .seal = "Seal",
+           .notRun = "Not-Run",
+           .targetId = "Target" };
+}
+
+/// Answers attempts from a script; holds those without an entry.
+class FakeChannel : public AttemptChannel
+{
+public:
+  void Start(const Attempt& aAttempt, AttemptDone aDone) override
+  {
+    m_attempts.push_back(aAttempt);
+    if (m_script.empty()) {
+      m_held.push_back(std::move(aDone));
+      return;
+    }
+    AttemptResult result = m_script.front();
+    m_script.erase(m_script.begin());
+    aDone(std::move(result));
+  }
+  void Cancel(uint64_t aAttemptId) override
+  {
+    m_cancelled.push_back(aAttemptId);
+  }
+
+  std::vector<AttemptResult> m_script;
+  std::vector<Attempt> m_attempts;
+  std::vector<AttemptDone> m_held;
+  std::vector<uint64_t> m_cancelled;
+};
+
+class FakeDirectory : public TargetDirectory
+{
+public:
+  std::vector<TargetOption> Options(const std::string&,
+                                    const std::string&) override
+  {
+    std::vector<TargetOption> options;
+    for (size_t i = 0; i < m_channels.size(); ++i) {
+      TargetOption option;
+      option.channel = &m_channels[i];
+      option.address = "vm" + std::to_string(i);
+      option.candidate.slots = 10;
+      option.candidate.run = milliseconds(10);
+      // The first one is always preferred.
+      option.candidate.wait = milliseconds(100 * i);
+      options.push_back(option);
+    }
+    return options;
+  }
+  bool HasTargets(const std::string&) const override { return true; }
+  void OnSent(const std::string&) override {}
+  void OnResult(const std::string&,
+                const Attempt&,
+                const AttemptResult&) override
+  {
+  }
+  std::array<double, gate::kClasses> Admit(const std::string&,
+                                           const std::string&) override
+  {
+    return { m_level, m_level, m_level, m_level };
+  }
+
+  std::vector<FakeChannel> m_channels{ 2 };
+  double m_level = 1;
+};
+
+class FakeObserver
+  : public GatewayObserver
+  , public EntryObserver
+{
+public:
+  void OnTargetDied(const std::vector<uint64_t>&) override {}
+  bool BeginRun(uint64_t) override { return true; }
+  void EndRun(uint64_t, bool) override {}
+  std::array<double, gate::kClasses> AdmitBelow(const std::string&) override
+  {
+    return { 1, 1, 1, 1 };
+  }
+  void OnRequestEnd(const RequestEnd& aEnd) override { m_ends.push_back(aEnd); }
+  bool MayRun(uint64_t) override { return m_mayRun; }
+
+  std::vector<RequestEnd> m_ends;
+  bool m_mayRun = true;
+};
+
+AttemptResult
+Answered(int aStatus)
+{
+  AttemptResult result;
+  result.outcome = Outcome::kAnswered;
+  result.arrived = true;
+  result.response.status = aStatus;
+  result.response.headers = { { "Seal", "s" } };
+  result.response.body = "body";
+  return result;
+}
+
+AttemptResult
+Ended(Outcome aOutcome, bool aArrived)
+{
+  AttemptResult result;
+  result.outcome = aOutcome;
+  result.arrived = aArrived;
+  result.error = { ErrorKind::kConnectionLost, "scripted" };
+  return result;
+}
+
+class EntryTest : public ::testing::Test
+{
+protected:
+  EntryTest()
+    : m_gateway(m_io, Names(), {}, m_observer)
+    , m_entry(m_io,
+              Names(),
+              { .ownService = "stock", .retries = { 0.2, 50 } },
+              m_directory,
+              m_gateway,
+              m_observer)
+    , m_server(m_io, m_entry, {})
+    , m_socket(m_io)
+  {
+    asio::ip::tcp::acceptor probe(
+      m_io, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    m_endpoint = probe.local_endpoint();
+    probe.close();
+    EXPECT_TRUE(IsOk(m_server.Listen(m_endpoint)));
+    SetConfig(milliseconds(0));
+  }
+
+  void SetConfig(Duration aTimeout)
+  {
+    routes::RouteConfig config;
+    config.version = 1;
+    for (const bool idempotent : { true, false }) {
+      routes::Route route;
+      route.name = idempotent ? "lookup" : "order";
+      route.host = "h";
+      route.prefix = idempotent ? "/lookup/" : "/order/";
+      route.idempotent = idempotent;
+      route.timeout = aTimeout;
+      route.objective = milliseconds(1000);
+      route.priority = idempotent ? 2 : 0;
+      route.maxAttempts = 2;
+      route.splits = { { "stock", 1 } };
+      config.routes.push_back(route);
+    }
+    config.services = { { "stock", "/", 10 } };
+    m_entry.SetTable(routes::RouteTable::Make(config));
+  }
+
+  void Spin(int aMs)
+  {
+    m_io.restart();
+    m_io.run_for(milliseconds(aMs));
+  }
+
+  void Send(const std::string& aPath, const std::string& aHeaders = "Id: i\r\n")
+  {
+    m_socket = asio::ip::tcp::socket(m_io);
+    m_socket.connect(m_endpoint);
+    asio::write(m_socket,
+                asio::buffer("GET " + aPath + " HTTP/1.1\r\nHost: h\r\n" +
+                             aHeaders + "\r\n"));
+  }
+
+  /// Returns the answer, or "" if none came in aMs.
+  std::string Received(int aMs = 30)
+  {
+    Spin(aMs);
+    m_socket.non_blocking(true);
+    std::string bytes(4096, '\0');
+    std::error_code code;
+    bytes.resize(m_socket.read_some(asio::buffer(bytes), code));
+    return bytes;
+  }
+
+  std::string Ask(const std::string& aPath,
+                  const std::string& aHeaders = "Id: i\r\n")
+  {
+    Send(aPath, aHeaders);
+    return Received();
+  }
+
+  FakeChannel& Channel(size_t aIndex) { return m_directory.m_channels[aIndex]; }
+
+  asio::io_context m_io;
+  FakeObserver m_observer;
+  FakeDirectory m_directory;
+  TargetGateway m_gateway;
+  Entry m_entry;
+  http1::Server m_server;
+  asio::ip::tcp::endpoint m_endpoint;
+  asio::ip::tcp::socket m_socket;
+};
+
+int
+StatusOf(const std::string& aAnswer)
+{
+  return aAnswer.size() < 12 ? 0 : std::stoi(aAnswer.substr(9, 3));
+}
+
+bool
+Has(const std::string& aAnswer, const std::string& aText)
+{
+  return aAnswer.find(aText) != std::string::npos;
+}
+
+// Guards against answers that lose the target's status, proof or body.
+TEST_F(EntryTest, PassesTheTargetsAnswerOn)
+{
+  Channel(0).m_script = { Answered(200) };
+  const std::string answer = Ask("/lookup/1", "Id: i\r\nDeadline: 4000\r\n");
+  EXPECT_EQ(StatusOf(answer), 200);
+  EXPECT_TRUE(Has(answer, "Seal: s\r\n") && Has(answer, "\r\n\r\nbody"));
+  const Attempt& attempt = Channel(0).m_attempts.at(0);
+  EXPECT_EQ(attempt.requestId, "i");
+  EXPECT_EQ(attempt.callerService, "stock");
+  EXPECT_NEAR(
+    static_cast<double>(ToMilliseconds(attempt.deadline - BootNow())),
+    3970,
+    60);
+}
+
+struct FaultCase
+{
+  const char* name;
+  const char* path;
+  std::vector<AttemptResult> first;
+  std::vector<AttemptResult> second;
+  int status;
+  size_t secondTries;
+};
+
+class Faults
+  : public EntryTest
+  , public ::testing::WithParamInterface<FaultCase>
+{};
+
+// Guards against an order that runs twice, against "not run" (503) for what
+// may have run, and against lookups that are not tried again.
+TEST_P(Faults, EndAsTheKindOfRequestAllows)
+{
+  Channel(0).m_script = GetParam().first;
+  Channel(1).m_script = GetParam().second;
+  const std::string answer = Ask(GetParam().path);
+  EXPECT_EQ(StatusOf(answer), GetParam().status);
+  EXPECT_EQ(Channel(1).m_attempts.size(), GetParam().secondTries);
+  EXPECT_EQ(Has(answer, "Retry-After"), GetParam().status == 503);
+}
+
+const AttemptResult kRejected = Ended(Outcome::kNotRun, false);
+const AttemptResult kShed = Ended(Outcome::kNotRun, true);
+const AttemptResult kUnknown = Ended(Outcome::kUnknown, true);
+
+INSTANTIATE_TEST_SUITE_P(
+  Table,
+  Faults,
+  ::testing::Values(
+    FaultCase{ "LookupLost",
+               "/lookup/1",
+               { kUnknown },
+               { Answered(200) },
+               200,
+               1 },
+    FaultCase{ "LookupLostTwice",
+               "/lookup/1",
+               { kUnknown },
+               { kUnknown },
+               502,
+               1 },
+    // It may have run, so that a rejection by the second target does not make
+    // it "not run".
+    FaultCase{ "LookupLostThenShed",
+               "/lookup/1",
+               { kUnknown },
+               { kShed },
+               502,
+               1 },
+    FaultCase{ "OrderLost", "/order/1", { kUnknown }, {}, 502, 0 },
+    FaultCase{ "OrderRejectedByTheDaemon",
+               "/order/1",
+               { kRejected },
+               { Answered(200) },
+               200,
+               1 },
+    FaultCase{ "OrderShed", "/order/1", { kShed }, { Answered(200) }, 200, 1 },
+    FaultCase{ "OrderShedTwice", "/order/1", { kShed }, { kShed }, 503, 1 },
+    FaultCase{ "OrderShedThenLost",
+               "/order/1",
+               { kShed },
+               { kUnknown },
+               502,
+               1 },
+    FaultCase{ "LookupFailed",
+               "/lookup/1",
+               { Answered(500) },
+               { Answered(200) },
+               200,
+               1 },
+    FaultCase{ "OrderFailed", "/order/1", { Answered(500) }, {}, 500, 0 }),
+  [](const auto& aInfo) { return aInfo.param.name; });
+
+// Guards against retries of a run that failed for want of its own calls, which
+// multiply the load of an overloaded service below.
+TEST_F(EntryTest, DoesNotRepeatARunWhoseCallsFailed)
+{
+  AttemptResult failed = Answered(500);
+  failed.nestedFailed = true;
+  Channel(0).m_script = { failed };
+  EXPECT_EQ(StatusOf(Ask("/lookup/1")), 500);
+  EXPECT_TRUE(Channel(1).m_attempts.empty());
+}
+
+// Guards against a request that waits longer than its route allows, and one
+// that is called "not run" though it may run.
+TEST_F(EntryTest, AnswersAtTheRoutesTimeout)
+{
+  SetConfig(milliseconds(50));
+  Send("/order/1");
+  EXPECT_EQ(Received(20), "");
+  EXPECT_EQ(StatusOf(Received(250)), 504);
+  EXPECT_EQ(Channel(0).m_cancelled.size(), 1U);
+}
+
+// Guards against work for clients that have gone.
+TEST_F(EntryTest, CancelsWhenTheClientGoes)
+{
+  Send("/lookup/1");
+  Spin(20);
+  ASSERT_EQ(Channel(0).m_attempts.size(), 1U);
+  m_socket.close();
+  Spin(20);
+  EXPECT_EQ(Channel(0).m_cancelled,
+            std::vector<uint64_t>{ Channel(0).m_attempts[0].id });
+  EXPECT_EQ(m_entry.OpenRequests(), 0U);
+}
+
+// Guards against 404 from a daemon that knows no configuration yet.
+TEST_F(EntryTest, RejectsWithoutAConfiguration)
+{
+  m_entry.SetTable(nullptr);
+  EXPECT_EQ(StatusOf(Ask("/lookup/1")), 503);
+  SetConfig(milliseconds(0));
+  EXPECT_EQ(StatusOf(Ask("/nowhere/1")), 404);
+  EXPECT_EQ(StatusOf(Ask("/lookup/1", "")), 400);
+}
+
+// Guards against a surge that fills the queues: what there is no room for is
+// rejected at the entry, without an attempt.
+TEST_F(EntryTest, RejectsAboveTheAdmittedLevel)
+{
+  m_directory.m_level = 0;
+  const std::string answer = Ask("/lookup/1", "Id: i\r\nDeadline: 3000\r\n");
+  EXPECT_EQ(StatusOf(answer), 503);
+  EXPECT_TRUE(Has(answer, "Retry-After: "));
+  EXPECT_TRUE(Channel(0).m_attempts.empty());
+  ASSERT_EQ(m_observer.m_ends.size(), 1U);
+  EXPECT_EQ(m_observer.m_ends[0].error, ErrorKind::kOverloaded);
+}
+
+// Guards against requests that are taken long after SIGTERM and cut at the
+// exit (LOST, hunt of vukovic-narudzbe, seed 985642670994).
+TEST_F(EntryTest, ALeavingDaemonSendsClientsAway)
+{
+  m_entry.RejectClients();
+  EXPECT_EQ(StatusOf(Ask("/lookup/1")), 503);
+  EXPECT_TRUE(Channel(0).m_attempts.empty());
+}
+
+TEST_F(EntryTest, QuarantinedRequestsReachNoTarget)
+{
+  m_observer.m_mayRun = false;
+  EXPECT_EQ(StatusOf(Ask("/lookup/1")), 503);
+  EXPECT_TRUE(Channel(0).m_attempts.empty());
+}
+
+} // namespace
+} // namespace wagtailbend::exchange
--- /dev/null
+++ b/wagtailbend/http1/message_test.cc
@@ -0,0 +1,56 @@
+#include "wagtailbend/http1/message.h"
+
+#include <gtest/gtest.h>
+
+namespace wagtailbend::http1 {
+namespace {
+
+// Guards against headers of one connection that reach the next one, also those
+// that only the Connection header names.
+TEST(MessageTest, RemovesHeadersOfOneConnection)
+{
+  Headers headers = { { "Host", "a" },       { "connection", "close, X-Hop" },
+                      { "x-hop", "1" },      { "Keep-Alive", "timeout=5" },
+                      { "TE", "trailers" },  { "Transfer-Encoding", "chunked" },
+                      { "X-Stays", "here" }, { "Content-Length", "3" } };
+  RemoveConnectionHeaders(headers);
+  EXPECT_EQ(headers, (Headers{ { "Host", "a" }, { "X-Stays", "here" } }));
+}
+
+// Guards against a body whose length the reader has to guess.
+TEST(MessageTest, SerializedMessagesNameTheLengthOfTheirBody)
+{
+  RequestMessage request{ "POST", "/a/", { { "Host", "h" } }, "" };
+  EXPECT_EQ(SerializeRequest(request),
+            "POST /a/ HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n");
+  ResponseMessage response;
+  response.status = 503;
+  EXPECT_EQ(SerializeResponse(response, true),
+            "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n"
+            "Connection: close\r\n\r\n");
+}
+
+// Guards against a body after the answer to a HEAD request, which the client
+// would take for the next answer.
+TEST(MessageTest, AnswerToHeadHasItsLengthAndNoBody)
+{
+  ResponseMessage response;
+  response.status = 200;
+  response.reason = "OK";
+  response.headers = { { "Content-Length", "5" } };
+  response.bodiless = true;
+  EXPECT_EQ(SerializeResponse(response, false),
+            "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n");
+}
+
+TEST(MessageTest, HeaderNamesAreComparedWithoutCase)
+{
+  Headers headers = { { "attempt-id", "7" }, { "Attempt-ID", "8" } };
+  ASSERT_NE(FindHeader(headers, "ATTEMPT-ID"), nullptr);
+  EXPECT_EQ(*FindHeader(headers, "ATTEMPT-ID"), "7");
+  SetHeader(headers, "Attempt-Id", "9");
+  EXPECT_EQ(headers, (Headers{ { "Attempt-Id", "9" } }));
+}
+
+} // namespace
+} // namespace wagtailbend::http1
--- /dev/null
+++ b/wagtailbend/routes/route_table_test.cc
@@ -0,0 +1,98 @@
+#include "wagtailbend/routes/route_table.h"
+
+#include <gtest/gtest.h>
+
+#include "wagtailbend/routes/split_picker.h"
+
+namespace wagtailbend::routes {
+namespace {
+
+Route
+MakeRoute(const std::string& aName,
+          const std::string& aHost,
+          const std::string& aPrefix)
+{
+  Route route;
+  route.name = aName;
+  route.host = aHost;
+  route.prefix = aPrefix;
+  route.splits = { { "stock", 1 } };
+  return route;
+}
+
+RouteConfig
+MakeConfig(std::vector<Route> aRoutes)
+{
+  RouteConfig config;
+  config.version = 3;
+  config.routes = std::move(aRoutes);
+  config.services = { { "stock", "/health", 10 }, { "orders", "/health", 10 } };
+  return config;
+}
+
+// Guards against requests that reach the service of a shorter or another
+// host's prefix.
+TEST(RouteTableTest, FindsTheLongestPrefixOfTheHost)
+{
+  const auto table = RouteTable::Make(
+    MakeConfig({ MakeRoute("short", "a.example", "/x/"),
+                 MakeRoute("long", "a.example", "/x/y/"),
+                 MakeRoute("other", "b.example", "/x/y/z/") }));
+  const auto name = [&table](const char* aHost, const char* aTarget) {
+    const Route* route = table->Find(aHost, aTarget);
+    return route == nullptr ? "" : route->name;
+  };
+  EXPECT_EQ(name("a.example", "/x/1"), "short");
+  EXPECT_EQ(name("a.example", "/x/y/z/1"), "long");
+  EXPECT_EQ(name("A.Example:8080", "/x/y/"), "long");
+  EXPECT_EQ(name("a.example", "/x"), "");
+  EXPECT_EQ(name("a.example", "/xy/1"), "");
+  EXPECT_EQ(name("a.example", "/?p=/x/"), "");
+  EXPECT_EQ(name("c.example", "/x/1"), "");
+}
+
+TEST(RouteTableTest, NamesWhatIsWrong)
+{
+  EXPECT_EQ(FindProblem(MakeConfig({ MakeRoute("r", "a", "/x/") })), "");
+  Route route = MakeRoute("r", "a", "/x");
+  EXPECT_NE(FindProblem(MakeConfig({ route })), "");
+  route = MakeRoute("r", "a", "/x/");
+  route.splits = { { "unknown", 1 } };
+  EXPECT_NE(FindProblem(MakeConfig({ route })), "");
+  route.splits = { { "stock", 0 } };
+  EXPECT_NE(FindProblem(MakeConfig({ route })), "");
+  EXPECT_NE(FindProblem(MakeConfig({ MakeRoute("r", "a", "/x/"),
+                                     MakeRoute("s", "A", "/x/") })),
+            "");
+}
+
+// Guards against shares that are right only over thousands of requests.
+TEST(SplitPickerTest, KeepsTheWeightsOverFewRequests)
+{
+  Route route = MakeRoute("r", "a", "/x/");
+  route.splits = { { "stock", 90 }, { "orders", 10 } };
+  SplitPicker picker;
+  Rng rng(1);
+  int orders = 0;
+  for (int i = 0; i < 50; ++i) {
+    orders += picker.Pick(route, rng) == "orders" ? 1 : 0;
+  }
+  EXPECT_NEAR(orders, 5, 1);
+}
+
+// Guards against requests for a service whose weight is zero.
+TEST(SplitPickerTest, NeverPicksAServiceWithoutWeight)
+{
+  Route route = MakeRoute("r", "a", "/x/");
+  route.splits = { { "stock", 0 }, { "orders", 1 } };
+  for (uint64_t seed = 0; seed < 50; ++seed) {
+    SplitPicker picker;
+    Rng rng(seed);
+    for (int i = 0; i < 10; ++i) {
+      EXPECT_EQ(picker.Pick(route, rng), "orders");
+    }
+  }
+}
+
+} // namespace
+} // namespace wagtailbend::routes
