Send what a target rejected without running it to it again, orders first

Cause: while all servers of the deepest service reject 55% of what they get, orders need five calls of it to succeed; the retries went to lookups that need ten and could not succeed anyway. Ruled out: room (servers had free slots).

--- a/wagtailbend/exchange/attempt.h
+++ b/wagtailbend/exchange/attempt.h
@@ -40,6 +40,15 @@
   uint64_t fingerprint = 0;
 };
 
+/// Repeats are scarce: what is most important, and what customers wait for
+/// directly, comes before calls of other requests, which need all of their
+/// calls to succeed.
+inline bool
+IsImportant(const Attempt& aAttempt)
+{
+  return aAttempt.priority == 0 || !aAttempt.nested;
+}
+
 /// Load of one target as its daemon sees it.
 struct LoadReport
 {
--- a/wagtailbend/exchange/entry_test.cc
+++ b/wagtailbend/exchange/entry_test.cc
@@ -94,6 +94,7 @@
   void OnTargetDied(const std::vector<uint64_t>&) override {}
   bool BeginRun(uint64_t) override { return true; }
   void EndRun(uint64_t, bool) override {}
+  bool TakeRepeat(const Attempt&) override { return false; }
   std::array<double, gate::kClasses> AdmitBelow(const std::string&) override
   {
     return { 1, 1, 1, 1 };
--- a/wagtailbend/exchange/retry_allowance.cc
+++ b/wagtailbend/exchange/retry_allowance.cc
@@ -3,13 +3,8 @@
 namespace wagtailbend::exchange {
 namespace {
 
-// Part of the bound that is used: windows of the daemons do not align, and
-// calls made by a repeated run count as repeats too.
-constexpr double kRatioPart = 0.7;
-constexpr double kExtraPart = 0.5;
-// Part of the allowance that priorities from this one on may use.
-constexpr uint32_t kUnimportantFrom = 1;
-constexpr double kUnimportantPart = 0.7;
+// Part of the allowance for what is not important.
+constexpr double kUnimportantPart = 0.4;
 
 } // namespace
 
@@ -29,9 +24,9 @@
 {
   Limits& limits = m_limits[aService];
   if (!limits.all) {
-    const double percent = 100.0 * m_terms.ratio * kRatioPart;
+    const double percent = 100.0 * m_terms.ratio * m_terms.part;
     const double extra =
-      kExtraPart * m_terms.extra / static_cast<double>(m_daemons);
+      m_terms.part * m_terms.extra / static_cast<double>(m_daemons);
     limits.all = std::make_unique<attempts::RatioLimiter>(
       static_cast<uint32_t>(percent), static_cast<uint32_t>(extra));
     limits.unimportant = std::make_unique<attempts::RatioLimiter>(
@@ -51,11 +46,11 @@
 
 bool
 RetryAllowance::TryTake(const std::string& aService,
-                        uint32_t aPriority,
+                        bool aImportant,
                         TimePoint aNow)
 {
   Limits& limits = For(aService);
-  if (aPriority >= kUnimportantFrom && !limits.unimportant->TryTake(aNow)) {
+  if (!aImportant && !limits.unimportant->TryTake(aNow)) {
     return false;
   }
   return limits.all->TryTake(aNow);
--- a/wagtailbend/exchange/retry_allowance.h
+++ b/wagtailbend/exchange/retry_allowance.h
@@ -1,7 +1,7 @@
 // How many more arrivals at a service this daemon may cause.
 //
 //   allowance.RecordCall(service, now);
-//   if (allowance.TryTake(service, priority, now)) { ... send it again ... }
+//   if (allowance.TryTake(service, important, now)) { ... send it again ... }
 //
 // Answers targets that fail or reject while all callers retry: the arrivals
 // beyond the first of each request are bounded for the whole system by a ratio
@@ -21,12 +21,16 @@
 
 namespace wagtailbend::exchange {
 
+/// What one place of one daemon may use of the bound.
 struct RetryTerms
 {
   /// Extra arrivals allowed for each request.
   double ratio = 0.1;
   /// Extra arrivals allowed for the whole system in a window.
   uint32_t extra = 10;
+  /// Part of the bound for this place. The parts of all places of a daemon
+  /// stay below 1: windows of the daemons do not align.
+  double part = 0.7;
 
   bool operator==(const RetryTerms&) const = default;
 };
@@ -40,12 +44,10 @@
   /// Daemons among which the fixed number is divided. Precondition: > 0.
   void SetDaemons(size_t aCount);
   void RecordCall(const std::string& aService, TimePoint aNow);
-  /// Counts one more arrival and returns true if it is allowed. The least
-  /// important classes may use a part of the ratio only, which leaves the rest
-  /// to the others.
-  bool TryTake(const std::string& aService,
-               uint32_t aPriority,
-               TimePoint aNow);
+  /// Counts one more arrival and returns true if it is allowed. What is not
+  /// important may use a part of the allowance only, which leaves the rest to
+  /// the others.
+  bool TryTake(const std::string& aService, bool aImportant, TimePoint aNow);
 
 private:
   struct Limits
--- a/wagtailbend/exchange/target_gateway.cc
+++ b/wagtailbend/exchange/target_gateway.cc
@@ -31,6 +31,11 @@
 // Deadlines of calls match the deadline of the request that makes them up to
 // the time between two VM-local messages.
 constexpr int64_t kParentToleranceMs = 4;
+// Times that a request which the target rejected without running it is sent to
+// the same target again. A target that has free slots and still rejects does so
+// at random, so that the next try may well succeed, and costs no hop.
+constexpr uint32_t kMaxRepeats = 1;
+constexpr uint32_t kMaxImportantRepeats = 4;
 // Weight of one outcome in the share of failures.
 constexpr double kOutcomeShare = 0.03;
 
@@ -382,6 +387,10 @@
     http1::FindHeader(response.headers, "Content-Encoding") != nullptr;
   if (rejected) {
     ++m_counts.rejectedByTarget;
+    NoteOutcome(!misdirected);
+    if (!misdirected && TrySendAgain(aKey)) {
+      return;
+    }
     result.outcome = Outcome::kNotRun;
     result.error = { misdirected ? ErrorKind::kStaleIncarnation
                                  : ErrorKind::kOverloaded,
@@ -400,12 +409,35 @@
   }
   const bool good = result.outcome == Outcome::kAnswered &&
                     result.response.status / 100 != 5;
-  if (!misdirected && !item.nestedFailed) {
+  if (!rejected && !item.nestedFailed) {
     NoteOutcome(!good);
   }
   Complete(aKey, std::move(result), good);
 }
 
+bool
+TargetGateway::TrySendAgain(uint64_t aKey)
+{
+  Item& item = m_items.at(aKey);
+  const uint32_t most =
+    IsImportant(item.attempt) ? kMaxImportantRepeats : kMaxRepeats;
+  if (item.rejections >= most || !IsAccepting() ||
+      BootNow() + m_queue.MeanRun(item.attempt.route) >=
+        item.attempt.deadline ||
+      !m_observer.TakeRepeat(item.attempt)) {
+    return false;
+  }
+  ++item.rejections;
+  ++m_counts.sentAgain;
+  if (ConnectionPtr idle = TakeIdle(!item.attempt.idempotent)) {
+    item.reused = true;
+    SendOn(aKey, idle);
+  } else {
+    Connect(aKey);
+  }
+  return true;
+}
+
 void
 TargetGateway::OnNoAnswer(uint64_t aKey, const http1::NoAnswer& aNone)
 {
--- a/wagtailbend/exchange/target_gateway.h
+++ b/wagtailbend/exchange/target_gateway.h
@@ -60,6 +60,9 @@
   /// Returns false if the request must not run here now: it is quarantined,
   /// or suspected of a crash while another suspect runs.
   virtual bool BeginRun(uint64_t aFingerprint) = 0;
+  /// The target rejected a request without running it; returns true if the
+  /// request may be sent to it again.
+  virtual bool TakeRepeat(const Attempt& aAttempt) = 0;
   /// aSurvived: the target answered.
   virtual void EndRun(uint64_t aFingerprint, bool aSurvived) = 0;
   /// Returns by priority class the share of new requests of a route that the
@@ -73,6 +76,7 @@
   uint64_t sent = 0;
   uint64_t answered = 0;
   uint64_t rejectedByTarget = 0;
+  uint64_t sentAgain = 0;
   uint64_t unknown = 0;
   uint64_t noRoom = 0;
   uint64_t tooLate = 0;
@@ -140,6 +144,8 @@
     bool counted = false;
     bool reused = false;
     bool nestedFailed = false;
+    /// Times that the target rejected it.
+    uint32_t rejections = 0;
     int64_t deadlineMs = 0;
     std::multimap<int64_t, uint64_t>::iterator byDeadline;
   };
@@ -154,6 +160,7 @@
   std::string BytesFor(const Item& aItem, TimePoint aNow) const;
   void OnResult(uint64_t aKey, http1::ClientResult aResult);
   void OnAnswer(uint64_t aKey, http1::Answer aAnswer);
+  bool TrySendAgain(uint64_t aKey);
   void OnNoAnswer(uint64_t aKey, const http1::NoAnswer& aNone);
   void OnUnreachable(uint64_t aKey);
   void Complete(uint64_t aKey, AttemptResult aResult, bool aSample);
--- a/wagtailbend/exchange/target_gateway_test.cc
+++ b/wagtailbend/exchange/target_gateway_test.cc
@@ -36,6 +36,7 @@
     return aFingerprint != m_blocked;
   }
   void EndRun(uint64_t, bool) override {}
+  bool TakeRepeat(const Attempt&) override { return m_repeats-- > 0; }
   std::array<double, gate::kClasses> AdmitBelow(const std::string&) override
   {
     return { 1, 1, 1, 1 };
@@ -43,6 +44,7 @@
 
   std::vector<uint64_t> m_died;
   uint64_t m_blocked = 0;
+  int m_repeats = 0;
 };
 
 std::string
@@ -297,6 +299,41 @@
     m_gateway->FindParent("zzz", attempt.deadline + milliseconds(50)));
 }
 
+constexpr const char* kRejected =
+  "HTTP/1.1 503 No\r\nId: {id}\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
+
+// Load: a target with free slots that rejects half of what it gets. Guards
+// against orders that fail with it although the next try would succeed.
+TEST_F(TargetGatewayTest, SendsAnOrderAgainThatTheTargetRejected)
+{
+  m_observer.m_repeats = 2;
+  m_server.Reply(kRejected);
+  m_server.Reply(kRejected);
+  m_server.Reply(Ok("x"));
+  EXPECT_EQ(RunOne(MakeAttempt(1, false)).outcome, Outcome::kAnswered);
+  EXPECT_EQ(m_server.Requests().size(), 3U);
+}
+
+// Guards against repeats beyond the bound of the system, and against lookups
+// of other requests that use it up.
+TEST_F(TargetGatewayTest, RepeatsOnlyWhatTheAllowanceCovers)
+{
+  m_observer.m_repeats = 1;
+  m_server.Reply(kRejected);
+  m_server.Reply(kRejected);
+  EXPECT_EQ(RunOne(MakeAttempt(1, false)).outcome, Outcome::kNotRun);
+  EXPECT_EQ(m_server.Requests().size(), 2U);
+  m_observer.m_repeats = 5;
+  m_results.clear();
+  Attempt lookup = MakeAttempt(2);
+  lookup.priority = 2;
+  lookup.nested = true;
+  m_server.Reply(kRejected);
+  m_server.Reply(kRejected);
+  EXPECT_EQ(RunOne(lookup).outcome, Outcome::kNotRun);
+  EXPECT_EQ(m_server.Requests().size(), 4U);
+}
+
 // Guards against a suspect that runs beside another one.
 TEST_F(TargetGatewayTest, AsksBeforeARun)
 {
--- a/wagtailbend/mesh/mesh_test.cc
+++ b/wagtailbend/mesh/mesh_test.cc
@@ -23,6 +23,7 @@
   void OnTargetDied(const std::vector<uint64_t>&) override {}
   bool BeginRun(uint64_t) override { return true; }
   void EndRun(uint64_t, bool) override {}
+  bool TakeRepeat(const exchange::Attempt&) override { return false; }
   std::array<double, gate::kClasses> AdmitBelow(const std::string&) override
   {
     return { 1, 1, 0.5, 0.25 };
--- a/wagtailbend/node/traffic_node.cc
+++ b/wagtailbend/node/traffic_node.cc
@@ -39,6 +39,11 @@
   .lifetime = std::chrono::minutes(2)
 };
 
+// Parts of the bound on repeats: at other targets, chosen by the entry, and at
+// the own target after a rejection.
+constexpr double kEntryRetryPart = 0.3;
+constexpr double kTargetRetryPart = 0.55;
+
 std::string
 AdmissionKey(const std::string& aService, const std::string& aRoute)
 {
@@ -60,7 +65,9 @@
 {
   exchange::EntryOptions options;
   options.ownService = aSettings.service;
-  options.retries = { aSettings.retryRatio, aSettings.retryExtra };
+  options.retries = { aSettings.retryRatio,
+                      aSettings.retryExtra,
+                      kEntryRetryPart };
   return options;
 }
 
@@ -139,6 +146,8 @@
   , m_peerServer(aIo, *this, m_gateway)
   , m_timer(aIo)
   , m_rng(MakeSeededRng())
+  , m_targetRepeats(
+      { aSettings.retryRatio, aSettings.retryExtra, kTargetRetryPart })
   , m_trialDaemons{ DaemonId{ m_self.address, aIncarnation } }
   , m_quarantine(m_trialDaemons.front(), kQuarantineLimits)
 {
@@ -355,6 +364,7 @@
   peer->report.slots = aMember.slots;
   peer->reportAt = BootNow();
   m_entry.SetDaemons(m_peers.size() + 1);
+  m_targetRepeats.SetDaemons(m_peers.size() + 1);
   if (first) {
     peer->link->Tick(BootNow());
   }
@@ -564,6 +574,7 @@
 TrafficNode::BeginRun(uint64_t aFingerprint)
 {
   const TimePoint now = BootNow();
+  m_targetRepeats.RecordCall(m_settings.service, now);
   switch (m_quarantine.Check(aFingerprint, m_trialDaemons, now).kind) {
     case quarantine::VerdictKind::kPass:
       return true;
@@ -576,6 +587,13 @@
   return false;
 }
 
+bool
+TrafficNode::TakeRepeat(const exchange::Attempt& aAttempt)
+{
+  return m_targetRepeats.TryTake(
+    m_settings.service, exchange::IsImportant(aAttempt), BootNow());
+}
+
 void
 TrafficNode::EndRun(uint64_t aFingerprint, bool aSurvived)
 {
--- a/wagtailbend/node/traffic_node.h
+++ b/wagtailbend/node/traffic_node.h
@@ -105,6 +105,7 @@
   // exchange::GatewayObserver
   void OnTargetDied(const std::vector<uint64_t>& aFingerprints) override;
   bool BeginRun(uint64_t aFingerprint) override;
+  bool TakeRepeat(const exchange::Attempt& aAttempt) override;
   void EndRun(uint64_t aFingerprint, bool aSurvived) override;
   std::array<double, gate::kClasses> AdmitBelow(
     const std::string& aRoute) override;
@@ -177,6 +178,8 @@
   /// By service and route.
   std::unordered_map<std::string, Admission> m_admissions;
   Rng m_rng;
+  /// Repeats at the own target.
+  exchange::RetryAllowance m_targetRepeats;
   /// Requests that were running when targets died.
   const std::vector<DaemonId> m_trialDaemons;
   quarantine::QuarantineList m_quarantine;
