--- /dev/null
+++ b/testing/fault_proxy.h
@@ -0,0 +1,65 @@
+// A TCP proxy on loopback that harms what passes through it.
+//
+//   FaultProxy proxy("127.0.0.1", target);
+//   proxy.Set(ProxyFault::kSilent);     // open connections; new ones work
+//   proxy.Set(ProxyFault::kNone);
+
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+#include <memory>
+#include <set>
+#include <string>
+#include <thread>
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+
+namespace wagtailbend::testing {
+
+enum class ProxyFault : uint8_t
+{
+  kNone,
+  /// Bytes pass 100 ms later.
+  kDelay,
+  /// Open connections are reset once; later ones pass.
+  kReset,
+  /// Bytes towards the server are swallowed.
+  kCutUp,
+  /// Bytes towards the client are swallowed.
+  kCutDown,
+  /// Open connections pass nothing for good; later ones pass.
+  kSilent,
+};
+
+inline constexpr size_t kProxyFaults = 6;
+
+/// Set is thread-safe.
+class FaultProxy
+{
+public:
+  /// Listens on a free port of aHost and connects to aTarget (IPv4:port).
+  FaultProxy(const std::string& aHost, const std::string& aTarget);
+  ~FaultProxy();
+  FaultProxy(const FaultProxy&) = delete;
+  FaultProxy& operator=(const FaultProxy&) = delete;
+
+  std::string Address() const { return m_address; }
+  void Set(ProxyFault aFault);
+
+private:
+  class Session;
+
+  void Accept();
+
+  asio::io_context m_io;
+  const asio::ip::tcp::endpoint m_target;
+  asio::ip::tcp::acceptor m_acceptor;
+  const std::string m_address;
+  std::atomic<ProxyFault> m_fault{ ProxyFault::kNone };
+  std::set<std::shared_ptr<Session>> m_sessions;
+  std::thread m_thread;
+};
+
+} // namespace wagtailbend::testing
