--- a/wagtailbend/mesh/peer_server.cc
+++ b/wagtailbend/mesh/peer_server.cc
@@ -34,8 +34,7 @@
 PeerServer::PeerServer(asio::io_context& aIo,
                        NodeContext& aContext,
                        exchange::TargetGateway& aGateway)
-  : m_io(aIo)
-  , m_context(aContext)
+  : m_context(aContext)
   , m_gateway(aGateway)
   , m_acceptor(aIo)
   , m_acceptRetry(aIo)
--- a/wagtailbend/mesh/peer_server.h
+++ b/wagtailbend/mesh/peer_server.h
@@ -85,7 +85,6 @@
   void OnPing(const SessionPtr& aSession, const wire::Ping& aPing);
   void Abandon(const SessionPtr& aSession);
 
-  asio::io_context& m_io;
   NodeContext& m_context;
   exchange::TargetGateway& m_gateway;
   asio::ip::tcp::acceptor m_acceptor;
