--- a/wagtailbend/base/time.h
+++ b/wagtailbend/base/time.h
@@ -50,4 +50,12 @@
   return std::chrono::duration<double, std::milli>(aDuration).count();
 }
 
+/// Multiplies a duration, rounding toward zero.
+constexpr Duration
+Scale(Duration aDuration, double aFactor)
+{
+  return Duration(
+    static_cast<int64_t>(static_cast<double>(aDuration.count()) * aFactor));
+}
+
 } // namespace wagtailbend
--- a/wagtailbend/emulator/emulator.cc
+++ b/wagtailbend/emulator/emulator.cc
@@ -31,13 +31,6 @@
   return std::chrono::duration<double>(aDuration).count();
 }
 
-Duration
-Scale(Duration aDuration, double aFactor)
-{
-  return Duration(
-    static_cast<int64_t>(static_cast<double>(aDuration.count()) * aFactor));
-}
-
 } // namespace
 
 /// A VM: the daemon's view of the others, and the target.
--- a/wagtailbend/exchange/entry_test.cc
+++ b/wagtailbend/exchange/entry_test.cc
@@ -6,24 +6,13 @@
 #include <asio/write.hpp>
 
 #include "wagtailbend/base/boot_time.h"
+#include "wagtailbend/exchange/testing/fakes.h"
 
 namespace wagtailbend::exchange {
 namespace {
 
 using std::chrono::milliseconds;
 
-http1::ProtocolNames
-Names()
-{
-  return { .requestId = "Id",
-           .deadlineMs = "Deadline",
-           .expectedTarget = "Expected",
-           .callerService = "Caller",
-           .seal = "Seal",
-           .notRun = "Not-Run",
-           .targetId = "Target" };
-}
-
 /// Answers attempts from a script; holds those without an entry.
 class FakeChannel : public AttemptChannel
 {
@@ -87,18 +76,10 @@
 };
 
 class FakeObserver
-  : public GatewayObserver
+  : public testing::FakeGatewayObserver
   , public EntryObserver
 {
 public:
-  void OnTargetDied(const std::vector<uint64_t>&) override {}
-  bool BeginRun(uint64_t) override { return true; }
-  void EndRun(uint64_t, bool) override {}
-  bool TakeRepeat(const Attempt&) override { return false; }
-  std::array<double, gate::kClasses> AdmitBelow(const std::string&) override
-  {
-    return { 1, 1, 1, 1 };
-  }
   void OnRequestEnd(const RequestEnd& aEnd) override { m_ends.push_back(aEnd); }
   bool MayRun(uint64_t) override { return m_mayRun; }
 
@@ -132,9 +113,9 @@
 {
 protected:
   EntryTest()
-    : m_gateway(m_io, Names(), {}, m_observer)
+    : m_gateway(m_io, testing::Names(), {}, m_observer)
     , m_entry(m_io,
-              Names(),
+              testing::Names(),
               { .ownService = "stock", .retries = { 0.2, 50 } },
               m_directory,
               m_gateway,
--- a/wagtailbend/exchange/return_time.cc
+++ b/wagtailbend/exchange/return_time.cc
@@ -13,13 +13,6 @@
 constexpr double kFirstPart = 0.15;
 constexpr double kLastPart = 0.5;
 
-Duration
-Scale(Duration aDuration, double aFactor)
-{
-  return Duration(
-    static_cast<int64_t>(static_cast<double>(aDuration.count()) * aFactor));
-}
-
 } // namespace
 
 Duration
--- a/wagtailbend/exchange/target_gateway_test.cc
+++ b/wagtailbend/exchange/target_gateway_test.cc
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include "wagtailbend/base/boot_time.h"
+#include "wagtailbend/exchange/testing/fakes.h"
 #include "wagtailbend/http1/testing/scripted_server.h"
 
 namespace wagtailbend::exchange {
@@ -12,41 +13,6 @@
 using After = ScriptedServer::After;
 using std::chrono::milliseconds;
 
-http1::ProtocolNames
-Names()
-{
-  return { .requestId = "Id",
-           .deadlineMs = "Deadline",
-           .expectedTarget = "Expected",
-           .callerService = "Caller",
-           .seal = "Seal",
-           .notRun = "Not-Run",
-           .targetId = "Target" };
-}
-
-class FakeObserver : public GatewayObserver
-{
-public:
-  void OnTargetDied(const std::vector<uint64_t>& aFingerprints) override
-  {
-    m_died = aFingerprints;
-  }
-  bool BeginRun(uint64_t aFingerprint) override
-  {
-    return aFingerprint != m_blocked;
-  }
-  void EndRun(uint64_t, bool) override {}
-  bool TakeRepeat(const Attempt&) override { return m_repeats-- > 0; }
-  std::array<double, gate::kClasses> AdmitBelow(const std::string&) override
-  {
-    return { 1, 1, 1, 1 };
-  }
-
-  std::vector<uint64_t> m_died;
-  uint64_t m_blocked = 0;
-  int m_repeats = 0;
-};
-
 std::string
 Ok(const std::string& aBody, const std::string& aHeaders = "Seal: s\r\n")
 {
@@ -62,7 +28,7 @@
     GatewayOptions options;
     options.target = m_server.Endpoint();
     options.service = "orders";
-    m_gateway.emplace(m_io, Names(), options, m_observer);
+    m_gateway.emplace(m_io, testing::Names(), options, m_observer);
     SetTarget(true);
   }
 
@@ -124,7 +90,7 @@
 
   asio::io_context m_io;
   ScriptedServer m_server{ m_io };
-  FakeObserver m_observer;
+  testing::FakeGatewayObserver m_observer;
   std::optional<TargetGateway> m_gateway;
   std::vector<AttemptResult> m_results;
 };
--- /dev/null
+++ b/wagtailbend/exchange/testing/fakes.h
@@ -0,0 +1,55 @@
+// Fakes of the gateway's surroundings, for tests of several folders.
+
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "wagtailbend/exchange/target_gateway.h"
+#include "wagtailbend/http1/protocol_names.h"
+
+namespace wagtailbend::exchange::testing {
+
+/// Short header names, so that a test sees what is a name and what a value.
+inline http1::ProtocolNames
+Names()
+{
+  return { .requestId = "Id",
+           .deadlineMs = "Deadline",
+           .expectedTarget = "Expected",
+           .callerService = "Caller",
+           .seal = "Seal",
+           .notRun = "Not-Run",
+           .targetId = "Target" };
+}
+
+/// Allows everything but one blocked fingerprint.
+class FakeGatewayObserver : public GatewayObserver
+{
+public:
+  void OnTargetDied(const std::vector<uint64_t>& aFingerprints) override
+  {
+    m_died = aFingerprints;
+  }
+  bool BeginRun(uint64_t aFingerprint) override
+  {
+    return aFingerprint != m_blocked;
+  }
+  bool TakeRepeat(const Attempt&) override { return m_repeats-- > 0; }
+  void EndRun(uint64_t, bool) override {}
+  std::array<double, gate::kClasses> AdmitBelow(const std::string&) override
+  {
+    return m_admitBelow;
+  }
+
+  std::vector<uint64_t> m_died;
+  std::optional<uint64_t> m_blocked;
+  /// Repeats that are still allowed.
+  int m_repeats = 0;
+  std::array<double, gate::kClasses> m_admitBelow{ 1, 1, 1, 1 };
+};
+
+} // namespace wagtailbend::exchange::testing
--- a/wagtailbend/gate/target_queue.cc
+++ b/wagtailbend/gate/target_queue.cc
@@ -22,13 +22,6 @@
 // Share of the mean run time that must be left before the deadline.
 constexpr double kRunReserve = 1.2;
 
-Duration
-Scale(Duration aDuration, double aFactor)
-{
-  return Duration(
-    static_cast<int64_t>(static_cast<double>(aDuration.count()) * aFactor));
-}
-
 } // namespace
 
 void
--- a/wagtailbend/http1/client_connection.cc
+++ b/wagtailbend/http1/client_connection.cc
@@ -1,7 +1,6 @@
 #include "wagtailbend/http1/client_connection.h"
 
 #include <algorithm>
-#include <array>
 #include <charconv>
 #include <utility>
 
@@ -11,12 +10,11 @@
 
 #include "wagtailbend/base/boot_time.h"
 #include "wagtailbend/net/socket_options.h"
+#include "wagtailbend/net/stream_reader.h"
 
 namespace wagtailbend::http1 {
 namespace {
 
-constexpr size_t kReadBytes = 16UL * 1024;
-
 } // namespace
 
 ClientConnection::ClientConnection(asio::io_context& aIo, ParseLimits aLimits)
@@ -126,15 +124,13 @@
   if (m_state == State::kClosed) {
     return;
   }
-  static thread_local std::array<char, kReadBytes> scratch;
-  std::error_code code;
-  const size_t count = m_socket.read_some(asio::buffer(scratch), code);
-  if (code == asio::error::would_block || code == asio::error::try_again) {
+  const net::Received received = net::ReadAvailable(m_socket);
+  if (received.state == net::ReadState::kNothing) {
     WaitReadable();
     return;
   }
-  if (code) {
-    OnEnd("connection-lost", code == asio::error::eof);
+  if (received.state != net::ReadState::kBytes) {
+    OnEnd("connection-lost", received.state == net::ReadState::kEnded);
     return;
   }
   if (m_state == State::kIdle) {
@@ -142,7 +138,7 @@
     OnEnd("unexpected-bytes", false);
     return;
   }
-  m_input.append(scratch.data(), count);
+  m_input.append(received.bytes);
   if (Consume()) {
     WaitReadable();
   }
--- a/wagtailbend/http1/server_connection.cc
+++ b/wagtailbend/http1/server_connection.cc
@@ -6,11 +6,11 @@
 #include <asio/error.hpp>
 
 #include "wagtailbend/net/socket_options.h"
+#include "wagtailbend/net/stream_reader.h"
 
 namespace wagtailbend::http1 {
 namespace {
 
-constexpr size_t kReadBytes = 16UL * 1024;
 // Pipelined bytes that are kept while a request is answered; reading stops
 // above it.
 constexpr size_t kMaxPipelinedBytes = 64UL * 1024;
@@ -76,14 +76,12 @@
   if (m_phase == Phase::kClosed) {
     return;
   }
-  static thread_local std::array<char, kReadBytes> scratch;
-  std::error_code code;
-  const size_t count = m_socket.read_some(asio::buffer(scratch), code);
-  if (code == asio::error::would_block || code == asio::error::try_again) {
+  const net::Received received = net::ReadAvailable(m_socket);
+  if (received.state == net::ReadState::kNothing) {
     WaitReadable();
     return;
   }
-  if (code) {
+  if (received.state != net::ReadState::kBytes) {
     OnPeerEnd();
     return;
   }
@@ -91,7 +89,7 @@
     WaitReadable();
     return;
   }
-  m_input.append(scratch.data(), count);
+  m_input.append(received.bytes);
   if (m_phase == Phase::kIdle || m_phase == Phase::kHead ||
       m_phase == Phase::kBody) {
     ParseInput();
--- a/wagtailbend/mesh/frame_stream.cc
+++ b/wagtailbend/mesh/frame_stream.cc
@@ -1,6 +1,5 @@
 #include "wagtailbend/mesh/frame_stream.h"
 
-#include <array>
 #include <utility>
 
 #include <asio/buffer.hpp>
@@ -10,11 +9,11 @@
 #include "wagtailbend/base/boot_time.h"
 #include "wagtailbend/mesh/convert.h"
 #include "wagtailbend/net/socket_options.h"
+#include "wagtailbend/net/stream_reader.h"
 
 namespace wagtailbend::mesh {
 namespace {
 
-constexpr size_t kReadBytes = 64UL * 1024;
 // The kernel ends a connection whose peer is silent for so long; the pings of
 // the link notice it sooner.
 constexpr Duration kPeerSilence = std::chrono::seconds(5);
@@ -109,20 +108,19 @@
   if (!m_open) {
     return;
   }
-  static thread_local std::array<char, kReadBytes> scratch;
-  std::error_code code;
-  const size_t count = m_socket.read_some(asio::buffer(scratch), code);
-  if (code == asio::error::would_block || code == asio::error::try_again) {
+  const net::Received received = net::ReadAvailable(m_socket);
+  if (received.state == net::ReadState::kNothing) {
     WaitReadable();
     return;
   }
-  if (code) {
-    Lose(code == asio::error::eof ? "closed-by-peer" : "connection-lost");
+  if (received.state != net::ReadState::kBytes) {
+    Lose(received.state == net::ReadState::kEnded ? "closed-by-peer"
+                                                  : "connection-lost");
     return;
   }
   m_heardAt = BootNow();
-  m_received += count;
-  m_in.append(scratch.data(), count);
+  m_received += received.bytes.size();
+  m_in.append(received.bytes);
   if (Parse() && m_open) {
     WaitReadable();
   }
--- a/wagtailbend/mesh/mesh_test.cc
+++ b/wagtailbend/mesh/mesh_test.cc
@@ -6,6 +6,7 @@
 #include <asio/post.hpp>
 
 #include "wagtailbend/base/boot_time.h"
+#include "wagtailbend/exchange/testing/fakes.h"
 #include "wagtailbend/http1/testing/scripted_server.h"
 #include "wagtailbend/mesh/convert.h"
 #include "wagtailbend/mesh/peer_link.h"
@@ -17,19 +18,6 @@
 using http1::testing::ScriptedServer;
 using std::chrono::milliseconds;
 
-class FakeObserver : public exchange::GatewayObserver
-{
-public:
-  void OnTargetDied(const std::vector<uint64_t>&) override {}
-  bool BeginRun(uint64_t) override { return true; }
-  void EndRun(uint64_t, bool) override {}
-  bool TakeRepeat(const exchange::Attempt&) override { return false; }
-  std::array<double, gate::kClasses> AdmitBelow(const std::string&) override
-  {
-    return { 1, 1, 0.5, 0.25 };
-  }
-};
-
 class FakeNode : public NodeContext
 {
 public:
@@ -180,16 +168,8 @@
     exchange::GatewayOptions options;
     options.target = m_target.Endpoint();
     options.service = "orders";
-    m_gateway.emplace(m_io,
-                      http1::ProtocolNames{ .requestId = "Id",
-                                            .deadlineMs = "Deadline",
-                                            .expectedTarget = "Expected",
-                                            .callerService = "Caller",
-                                            .seal = "Seal",
-                                            .notRun = "Not-Run",
-                                            .targetId = "Target" },
-                      options,
-                      m_observer);
+    m_observer.m_admitBelow = { 1, 1, 0.5, 0.25 };
+    m_gateway.emplace(m_io, exchange::testing::Names(), options, m_observer);
     targets::TargetView view;
     view.run = { "t-1", 5 };
     view.accepting = true;
@@ -244,7 +224,7 @@
 
   asio::io_context m_io;
   ScriptedServer m_target{ m_io };
-  FakeObserver m_observer;
+  exchange::testing::FakeGatewayObserver m_observer;
   FakeNode m_near;
   FakeNode m_far;
   std::optional<exchange::TargetGateway> m_gateway;
--- /dev/null
+++ b/wagtailbend/net/stream_reader.cc
@@ -0,0 +1,32 @@
+#include "wagtailbend/net/stream_reader.h"
+
+#include <array>
+
+#include <asio/buffer.hpp>
+#include <asio/error.hpp>
+
+namespace wagtailbend::net {
+namespace {
+
+// Larger than most messages, which then take one system call.
+constexpr size_t kReadBytes = 64UL * 1024;
+
+} // namespace
+
+Received
+ReadAvailable(asio::ip::tcp::socket& aSocket)
+{
+  static thread_local std::array<char, kReadBytes> buffer;
+  std::error_code code;
+  const size_t count = aSocket.read_some(asio::buffer(buffer), code);
+  if (code == asio::error::would_block || code == asio::error::try_again) {
+    return { ReadState::kNothing, {} };
+  }
+  if (code) {
+    return { code == asio::error::eof ? ReadState::kEnded : ReadState::kLost,
+             {} };
+  }
+  return { ReadState::kBytes, { buffer.data(), count } };
+}
+
+} // namespace wagtailbend::net
