Keep to one's part of the retry bound also before the other daemons are known

Cause (review): the allowance of a service was made at its first request with the number of daemons known then. After all processes were killed under load that is 1, and each daemon kept the whole fixed number for the life of its process. The new test fails on the former code: 170 repeats taken where 10 are allowed. Change: many daemons are assumed until they are known; a change by more than a quarter starts anew. Also: bytes of requests in progress are bounded to a sixteenth of the memory, since a message is held up to four times.

--- a/wagtailbend/exchange/entry_test.cc
+++ b/wagtailbend/exchange/entry_test.cc
@@ -128,6 +128,7 @@
     m_endpoint = probe.local_endpoint();
     probe.close();
     EXPECT_TRUE(IsOk(m_server.Listen(m_endpoint)));
+    m_entry.SetDaemons(1);
     SetConfig(milliseconds(0));
   }
 
--- a/wagtailbend/exchange/policies_test.cc
+++ b/wagtailbend/exchange/policies_test.cc
@@ -32,10 +32,30 @@
   }
 }
 
+// Guards against a daemon that starts under load, before it knows the others,
+// and keeps the allowance of a single daemon.
+TEST(RetryAllowanceTest, TakesItsPartAlsoOfWhatItDidNotKnowAtFirst)
+{
+  const auto takeAll = [](RetryAllowance& aAllowance) {
+    int taken = 0;
+    while (taken < 1000 && aAllowance.TryTake("s", true, kNow)) {
+      ++taken;
+    }
+    return taken;
+  };
+  RetryAllowance allowance({ 0.2, 170, 1.0 });
+  EXPECT_LE(takeAll(allowance), 170 / 17);
+  allowance.SetDaemons(17);
+  EXPECT_LE(takeAll(allowance), 170 / 17);
+  allowance.SetDaemons(18);
+  EXPECT_EQ(takeAll(allowance), 0);
+}
+
 // Guards against lookups that use up the retries of orders.
 TEST(RetryAllowanceTest, KeepsAPartForTheImportant)
 {
   RetryAllowance allowance({ 0.2, 200 });
+  allowance.SetDaemons(1);
   for (int i = 0; i < 1000; ++i) {
     allowance.RecordCall("s", kNow);
   }
--- a/wagtailbend/exchange/retry_allowance.cc
+++ b/wagtailbend/exchange/retry_allowance.cc
@@ -16,7 +16,12 @@
 void
 RetryAllowance::SetDaemons(size_t aCount)
 {
-  m_daemons = aCount == 0 ? 1 : aCount;
+  const size_t count = aCount == 0 ? 1 : aCount;
+  if (4 * count <= 5 * m_daemons && 4 * m_daemons <= 5 * count) {
+    return;
+  }
+  m_daemons = count;
+  m_limits.clear();
 }
 
 RetryAllowance::Limits&
--- a/wagtailbend/exchange/retry_allowance.h
+++ b/wagtailbend/exchange/retry_allowance.h
@@ -35,13 +35,18 @@
   bool operator==(const RetryTerms&) const = default;
 };
 
+/// Assumed number of daemons until it is known.
+inline constexpr size_t kAssumedDaemons = 64;
+
 /// Not thread-safe.
 class RetryAllowance
 {
 public:
   explicit RetryAllowance(RetryTerms aTerms);
 
-  /// Daemons among which the fixed number is divided. Precondition: > 0.
+  /// Daemons among which the fixed number is divided. Until it is called many
+  /// are assumed, so that a daemon that just started takes no more than its
+  /// part. A change by more than a quarter starts the windows anew.
   void SetDaemons(size_t aCount);
   void RecordCall(const std::string& aService, TimePoint aNow);
   /// Counts one more arrival and returns true if it is allowed. What is not
@@ -59,7 +64,7 @@
   Limits& For(const std::string& aService);
 
   const RetryTerms m_terms;
-  size_t m_daemons = 1;
+  size_t m_daemons = kAssumedDaemons;
   std::unordered_map<std::string, Limits> m_limits;
 };
 
--- a/wagtailbend/node/traffic_node.cc
+++ b/wagtailbend/node/traffic_node.cc
@@ -16,12 +16,13 @@
 constexpr Duration kTick = std::chrono::milliseconds(20);
 // Links and sessions are looked after at each fifth tick (100 ms).
 constexpr uint32_t kTicksPerLinkTick = 5;
-// Part of the memory that clients' requests and answers may take.
-constexpr uint64_t kHeldMemoryPart = 4;
+// Part of the memory that the bytes of clients' requests may take: each is held
+// up to four times on its way (message, frame, buffers of two sockets).
+constexpr uint64_t kHeldMemoryPart = 16;
 // Descriptors kept for links, the target, the store and files.
 constexpr uint32_t kReservedDescriptors = 1200;
 constexpr http1::ParseLimits kResponseLimits = { 64UL * 1024,
-                                                 64UL * 1024 * 1024 };
+                                                 16UL * 1024 * 1024 };
 // Expected round trips until one is measured.
 constexpr Duration kNearRoundTrip = std::chrono::milliseconds(3);
 constexpr Duration kFarRoundTrip = std::chrono::milliseconds(60);
