--- a/wagtailbend/http1/message_test.cc
+++ b/wagtailbend/http1/message_test.cc
@@ -45,11 +45,11 @@
 
 TEST(MessageTest, HeaderNamesAreComparedWithoutCase)
 {
-  Headers headers = { { "attempt-id", "7" }, { "Attempt-ID", "8" } };
-  ASSERT_NE(FindHeader(headers, "ATTEMPT-ID"), nullptr);
-  EXPECT_EQ(*FindHeader(headers, "ATTEMPT-ID"), "7");
-  SetHeader(headers, "Attempt-Id", "9");
-  EXPECT_EQ(headers, (Headers{ { "Attempt-Id", "9" } }));
+  Headers headers = { { "request-id", "7" }, { "Request-ID", "8" } };
+  ASSERT_NE(FindHeader(headers, "REQUEST-ID"), nullptr);
+  EXPECT_EQ(*FindHeader(headers, "REQUEST-ID"), "7");
+  SetHeader(headers, "Request-Id", "9");
+  EXPECT_EQ(headers, (Headers{ { "Request-Id", "9" } }));
 }
 
 } // namespace
