Count a leave that comes before the first heartbeat of a restarted daemon

It was kept with start time 0, so that a late heartbeat of the same run counted as another run and the target was used again. Ruled out: the way configurations spread (changed just before; no part in the log). Change: a leave without a start time covers every run of that id until it came.

--- a/wagtailbend/node/node.cc
+++ b/wagtailbend/node/node.cc
@@ -278,7 +278,8 @@
               uint64_t aBornMs,
               std::function<void()> aAcknowledge)
 {
-  const targets::Change change = m_target.OnLeave(aId, aBornMs);
+  const targets::Change change =
+    m_target.OnLeave(aId, aBornMs, UnixMilliseconds());
   Event("target_leaves")
     .Add("target", aId)
     .Add("born_ms", aBornMs)
--- a/wagtailbend/targets/target_state.cc
+++ b/wagtailbend/targets/target_state.cc
@@ -1,5 +1,7 @@
 #include "wagtailbend/targets/target_state.h"
 
+#include <algorithm>
+
 namespace wagtailbend::targets {
 namespace {
 
@@ -11,7 +13,8 @@
 bool
 TargetState::HasLeft(const TargetRun& aRun) const
 {
-  return m_left.contains(aRun);
+  const auto found = m_left.find(aRun.id);
+  return found != m_left.end() && aRun.bornMs <= found->second;
 }
 
 Change
@@ -47,15 +50,14 @@
 }
 
 Change
-TargetState::OnLeave(const std::string& aId, uint64_t aBornMs)
+TargetState::OnLeave(const std::string& aId, uint64_t aBornMs, uint64_t aNowMs)
 {
   const bool current = m_known && aId == m_view.run.id;
   if (aBornMs != 0 && current && aBornMs < m_view.run.bornMs) {
     return Change::kStale;
   }
-  const TargetRun run{ aId,
-                       aBornMs == 0 && current ? m_view.run.bornMs : aBornMs };
-  RestoreLeaving(run);
+  const uint64_t unsaid = current ? m_view.run.bornMs : aNowMs;
+  RestoreLeaving({ aId, aBornMs == 0 ? unsaid : aBornMs });
   if (!current || !m_view.accepting) {
     return Change::kNone;
   }
@@ -66,7 +68,8 @@
 void
 TargetState::RestoreLeaving(const TargetRun& aRun)
 {
-  m_left.insert(aRun);
+  uint64_t& born = m_left[aRun.id];
+  born = std::max(born, aRun.bornMs);
   if (m_left.size() > kMaxLeft) {
     m_left.erase(m_left.begin());
   }
--- a/wagtailbend/targets/target_state.h
+++ b/wagtailbend/targets/target_state.h
@@ -12,7 +12,7 @@
 #pragma once
 
 #include <cstdint>
-#include <set>
+#include <map>
 #include <string>
 #include <utility>
 
@@ -76,8 +76,9 @@
   Change OnHeartbeat(const Heartbeat& aHeartbeat, TimePoint aNow);
 
   /// The target leaves; it never takes new requests again. aBornMs is 0 if the
-  /// announcement does not say.
-  Change OnLeave(const std::string& aId, uint64_t aBornMs);
+  /// announcement does not say; then every run of that id until aNowMs (Unix
+  /// milliseconds) has left.
+  Change OnLeave(const std::string& aId, uint64_t aBornMs, uint64_t aNowMs);
 
   /// A run is known to leave from an earlier process of this daemon. Heartbeats
   /// of it that say otherwise were sent before it left.
@@ -93,8 +94,8 @@
   TargetView m_view;
   bool m_known = false;
   uint64_t m_sequence = 0;
-  /// Runs that left; bounded.
-  std::set<TargetRun> m_left;
+  /// By id: start of the latest run that left; bounded.
+  std::map<std::string, uint64_t> m_left;
 };
 
 } // namespace wagtailbend::targets
--- a/wagtailbend/targets/target_state_test.cc
+++ b/wagtailbend/targets/target_state_test.cc
@@ -6,6 +6,7 @@
 namespace {
 
 constexpr TimePoint kNow{ std::chrono::seconds(100) };
+constexpr uint64_t kNowMs = 1777650300000;
 
 Heartbeat
 Beat(const std::string& aId, uint64_t aBorn, uint64_t aSequence)
@@ -55,7 +56,7 @@
   state.OnHeartbeat(Beat("b", 9, 1), kNow);
   EXPECT_EQ(state.OnHeartbeat(Beat("a", 5, 70), kNow), Change::kStale);
   EXPECT_EQ(state.View().run.id, "b");
-  EXPECT_EQ(state.OnLeave("a", 5), Change::kNone);
+  EXPECT_EQ(state.OnLeave("a", 5, kNowMs), Change::kNone);
   EXPECT_TRUE(state.View().accepting);
 }
 
@@ -67,7 +68,22 @@
   state.OnHeartbeat(Draining(Beat("a", 5, 70)), kNow);
   EXPECT_EQ(state.OnHeartbeat(Beat("a", 9, 1), kNow), Change::kChanged);
   EXPECT_TRUE(state.View().accepting);
-  EXPECT_EQ(state.OnLeave("a", 5), Change::kStale);
+  EXPECT_EQ(state.OnLeave("a", 5, kNowMs), Change::kStale);
+  EXPECT_TRUE(state.View().accepting);
+}
+
+// Guards against a late heartbeat of a target whose leaving, without a start
+// time, is the first that this process heard of it (DRAIN broken in a hunt of
+// agcsa-mesh, hunt-7df9-23).
+TEST(TargetStateTest, ALeaveCountsBeforeTheFirstHeartbeat)
+{
+  TargetState state;
+  EXPECT_EQ(state.OnLeave("a", 0, kNowMs), Change::kNone);
+  EXPECT_EQ(state.OnHeartbeat(Beat("a", kNowMs - 20000, 9), kNow),
+            Change::kStale);
+  EXPECT_FALSE(state.View().accepting);
+  EXPECT_EQ(state.OnHeartbeat(Beat("a", kNowMs + 100, 1), kNow),
+            Change::kChanged);
   EXPECT_TRUE(state.View().accepting);
 }
 
@@ -77,7 +93,7 @@
 {
   TargetState state;
   state.OnHeartbeat(Beat("a", 5, 1), kNow);
-  EXPECT_EQ(state.OnLeave("a", 0), Change::kChanged);
+  EXPECT_EQ(state.OnLeave("a", 0, kNowMs), Change::kChanged);
   EXPECT_EQ(state.OnHeartbeat(Beat("a", 5, 9), kNow), Change::kStale);
   EXPECT_FALSE(state.View().accepting);
 
