End attempts whose target sends bytes without end

Cause: a client connection accepted any number of interim responses and of responses to other requests, and any amount of chunk extensions and trailers, until the deadline of the attempt. An endless header, chunk or body was limited to 64 KiB and 16 MiB for each connection, but nothing limited all connections of a gateway together: 48 slots times 16 MiB is more than the memory of a VM.

Ruled out: a limit in the read call (net::ReadAvailable reads at most 64 KiB per turn, which shares the traffic thread well enough: the second request of EndlessResponseDoesNotDelayOthers is answered while the endless one goes on).

Change: at most 16 dropped responses and maxHeaderBytes + maxBodyBytes received for each request; the parsers limit the framing of a body; the connections of a gateway share a budget of a sixteenth of the memory, of which the first 64 KiB of each response are free. Such an attempt is counted (wb_target_invalid_responses), logged (target_invalid_response) and never retried on the connection; an idempotent request goes to another target as before. Failure reasons are an enumeration now: the gateway compared one of them with a string.

--- a/wagtailbend/exchange/target_gateway.cc
+++ b/wagtailbend/exchange/target_gateway.cc
@@ -63,6 +63,7 @@
   , m_names(std::move(aNames))
   , m_options(std::move(aOptions))
   , m_observer(aObserver)
+  , m_receiveBudget(m_options.receiveBudgetBytes)
 {
 }
 
@@ -317,8 +318,8 @@
 {
   ++m_counts.connects;
   ++m_openConnections;
-  auto connection =
-    http1::ClientConnection::Make(m_io, m_options.responseLimits);
+  auto connection = http1::ClientConnection::Make(
+    m_io, m_options.responseLimits, &m_receiveBudget);
   m_pending.at(aKey).connection = connection;
   connection->Connect(m_options.target,
                       kConnectTimeout,
@@ -478,12 +479,17 @@
 TargetGateway::OnNoResponse(uint64_t aKey, const http1::NoResponse& aFailure)
 {
   PendingAttempt& pending = m_pending.at(aKey);
-  const bool timedOut = aFailure.reason == "no-answer-in-time";
+  const bool timedOut = aFailure.reason == http1::FailureReason::kTimeout;
+  const bool invalid = http1::IsInvalidResponse(aFailure.reason);
+  if (invalid) {
+    ++m_counts.invalidResponses;
+    m_observer.OnInvalidResponse(pending.attempt, aFailure);
+  }
   // The target may have closed an idle connection just before the request was
   // sent.
   const bool staleConnection =
     pending.connectionReused && !aFailure.responseStarted && !timedOut &&
-    (!aFailure.requestSent || pending.attempt.idempotent);
+    !invalid && (!aFailure.requestSent || pending.attempt.idempotent);
   if (staleConnection) {
     pending.connectionReused = false;
     Connect(aKey);
@@ -498,10 +504,11 @@
   } else {
     ++m_counts.unknown;
     result.outcome = Outcome::kUnknown;
-    result.error = { timedOut                   ? ErrorKind::kDeadlineExceeded
-                     : aFailure.responseStarted ? ErrorKind::kResponseIncomplete
-                                                : ErrorKind::kConnectionLost,
-                     std::string(aFailure.reason) };
+    result.error = { timedOut ? ErrorKind::kDeadlineExceeded
+                     : aFailure.responseStarted || invalid
+                       ? ErrorKind::kResponseIncomplete
+                       : ErrorKind::kConnectionLost,
+                     std::string(http1::ToString(aFailure.reason)) };
     if (!timedOut) {
       m_lostRequests.emplace_back(BootNow(), pending.attempt.fingerprint);
     }
@@ -520,7 +527,8 @@
   }
   ++m_counts.connects;
   ++m_openConnections;
-  m_probe = http1::ClientConnection::Make(m_io, m_options.responseLimits);
+  m_probe = http1::ClientConnection::Make(
+    m_io, m_options.responseLimits, &m_receiveBudget);
   m_probe->Connect(
     m_options.target,
     kConnectTimeout,
--- a/wagtailbend/exchange/target_gateway.h
+++ b/wagtailbend/exchange/target_gateway.h
@@ -37,6 +37,9 @@
   /// Service of the target.
   std::string service;
   http1::ParseLimits responseLimits;
+  /// Limit on the memory of all responses that are being received, except the
+  /// first http1::ReceiveBudget::kFreeBytes of each.
+  size_t receiveBudgetBytes = 16UL * 1024 * 1024;
 };
 
 /// Properties of a request running at the target that its nested calls inherit.
@@ -62,6 +65,10 @@
   /// Called when the target rejected a request without running it. Returns true
   /// if the retry budget allows sending the request to it again.
   virtual bool TryTakeRetry(const Attempt& aAttempt) = 0;
+  /// The target answered with bytes that are no acceptable response, or with
+  /// too many. The connection has been closed.
+  virtual void OnInvalidResponse(const Attempt& aAttempt,
+                                 const http1::NoResponse& aFailure) = 0;
   /// aSurvived: the target responded.
   virtual void EndRun(uint64_t aFingerprint, bool aSurvived) = 0;
   /// Returns by priority class the share of new requests of a route for which
@@ -82,6 +89,8 @@
   uint64_t failedConnects = 0;
   uint64_t connects = 0;
   uint64_t foreignResponses = 0;
+  /// Attempts that ended because of invalid or endless response bytes.
+  uint64_t invalidResponses = 0;
   uint64_t cancelled = 0;
 
   bool operator==(const GatewayCounts&) const = default;
@@ -190,6 +199,7 @@
   const http1::ProtocolNames m_names;
   const GatewayOptions m_options;
   GatewayObserver& m_observer;
+  http1::ReceiveBudget m_receiveBudget;
   targets::TargetView m_view;
   std::optional<TimePoint> m_closeEnd;
   bool m_closed = false;
--- a/wagtailbend/exchange/target_gateway_test.cc
+++ b/wagtailbend/exchange/target_gateway_test.cc
@@ -6,6 +6,7 @@
 
 #include "wagtailbend/base/boot_time.h"
 #include "wagtailbend/exchange/testing/fakes.h"
+#include "wagtailbend/http1/testing/endless_server.h"
 #include "wagtailbend/http1/testing/scripted_server.h"
 
 namespace wagtailbend::exchange {
@@ -25,10 +26,13 @@
 class TargetGatewayTest : public ::testing::Test
 {
 protected:
-  TargetGatewayTest()
+  TargetGatewayTest() { UseTarget(m_server.Endpoint()); }
+
+  /// Replaces the gateway by one whose target is at aEndpoint.
+  void UseTarget(const asio::ip::tcp::endpoint& aEndpoint)
   {
     GatewayOptions options;
-    options.target = m_server.Endpoint();
+    options.target = aEndpoint;
     options.service = "orders";
     m_gateway.emplace(m_io, testing::Names(), options, m_observer);
     SetTarget(true);
@@ -375,5 +379,85 @@
   EXPECT_TRUE(m_server.Requests().empty());
 }
 
+// Guards against a target in trouble whose endless responses hold slots until
+// the deadline, are retried on the same connection, or go unnoticed.
+TEST_F(TargetGatewayTest, EndlessResponseEndsTheAttempt)
+{
+  http1::testing::EndlessServer server(
+    m_io, { "HTTP/1.1 200 OK\r\nId: {id}\r\n", "X-Line: 1\r\n" });
+  UseTarget(server.Endpoint());
+  for (uint64_t id : { 1, 2 }) {
+    m_results.clear();
+    const TimePoint start = BootNow();
+    const AttemptResult result = RunOne(MakeAttempt(id, false));
+    EXPECT_EQ(result.outcome, Outcome::kUnknown);
+    EXPECT_TRUE(result.reachedTarget);
+    EXPECT_EQ(result.error.kind, ErrorKind::kResponseIncomplete);
+    EXPECT_LT(BootNow() - start, milliseconds(500));
+  }
+  EXPECT_EQ(server.AcceptedConnections(), 2U);
+  EXPECT_EQ(server.ReceivedRequests(), 2U);
+  EXPECT_EQ(m_gateway->Counts().invalidResponses, 2U);
+  EXPECT_EQ(m_observer.m_invalidResponses.size(), 2U);
+  EXPECT_EQ(m_gateway->RunningCount(), 0U);
+  EXPECT_EQ(m_gateway->ConnectionCount(), 0U);
+  EXPECT_GT(m_gateway->Report("r").failureShare, 0.0);
+}
+
+// Guards against an endless response that starves the other requests of the
+// traffic thread: they share it fairly, one read buffer at a time.
+TEST_F(TargetGatewayTest, EndlessResponseDoesNotDelayOthers)
+{
+  http1::testing::EndlessServer server(
+    m_io, { "HTTP/1.1 200 OK\r\nId: {id}\r\n\r\n", std::string(1024, 'x') });
+  UseTarget(server.Endpoint());
+  Start(MakeAttempt(1));
+  constexpr int kWarmUpEvents = 40;
+  for (int i = 0; i < kWarmUpEvents; ++i) {
+    m_io.run_one_for(milliseconds(100));
+  }
+  ASSERT_TRUE(m_results.empty());
+  m_server.AddResponse(Ok("x"));
+  GatewayOptions options;
+  options.target = m_server.Endpoint();
+  options.service = "orders";
+  TargetGateway other(m_io, testing::Names(), options, m_observer);
+  targets::TargetView view;
+  view.accepting = true;
+  view.slots = 2;
+  other.SetTarget(view);
+  std::optional<AttemptResult> result;
+  other.Run(MakeAttempt(2),
+            [&result](AttemptResult aResult) { result = std::move(aResult); });
+  // A request takes about ten events; each may wait for a few of the endless
+  // response, which also has the test's server on this thread.
+  constexpr int kMaxEvents = 120;
+  int events = 0;
+  while (!result && events < kMaxEvents) {
+    m_io.run_one_for(milliseconds(100));
+    ++events;
+  }
+  ASSERT_TRUE(result);
+  EXPECT_EQ(result->outcome, Outcome::kResponded);
+}
+
+// Guards against keeping a connection on which the target sends bytes that
+// belong to no request: they would be taken for the next response.
+TEST_F(TargetGatewayTest, BytesOnAnIdleConnectionCloseIt)
+{
+  http1::testing::EndlessServer server(
+    m_io,
+    { "HTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\nContent-Length: 1\r\n\r\nx",
+      "garbage",
+      milliseconds(20) });
+  UseTarget(server.Endpoint());
+  for (uint64_t id : { 1, 2 }) {
+    m_results.clear();
+    EXPECT_EQ(RunOne(MakeAttempt(id)).outcome, Outcome::kResponded);
+    RunFor(100);
+  }
+  EXPECT_EQ(server.AcceptedConnections(), 2U);
+}
+
 } // namespace
 } // namespace wagtailbend::exchange
--- a/wagtailbend/exchange/testing/fakes.h
+++ b/wagtailbend/exchange/testing/fakes.h
@@ -39,6 +39,11 @@
     return aFingerprint != m_blockedFingerprint;
   }
   bool TryTakeRetry(const Attempt&) override { return m_allowedRetries-- > 0; }
+  void OnInvalidResponse(const Attempt&,
+                         const http1::NoResponse& aFailure) override
+  {
+    m_invalidResponses.push_back(aFailure.reason);
+  }
   void EndRun(uint64_t, bool) override {}
   std::array<double, gate::kPriorityClasses> DownstreamAdmissionLevels(
     const std::string&) override
@@ -47,6 +52,7 @@
   }
 
   std::vector<uint64_t> m_crashedFingerprints;
+  std::vector<http1::FailureReason> m_invalidResponses;
   std::optional<uint64_t> m_blockedFingerprint;
   /// Number of retries that are still allowed.
   int m_allowedRetries = 0;
--- a/wagtailbend/http1/client_connection.cc
+++ b/wagtailbend/http1/client_connection.cc
@@ -15,23 +15,73 @@
 namespace wagtailbend::http1 {
 namespace {
 
+// A server that sent the request twice or gave up an earlier one may send a few
+// responses too many, and a few interim responses precede a final one.
+constexpr uint32_t kMaxDroppedResponses = 16;
+
+struct ReasonTraits
+{
+  FailureReason reason;
+  std::string_view name;
+  bool isInvalidResponse;
+};
+
+// In the order of the enumerators.
+constexpr ReasonTraits kReasons[] = {
+  { FailureReason::kConnectTimeout, "connect-timeout", false },
+  { FailureReason::kConnectFailed, "connect-failed", false },
+  { FailureReason::kConnectionLost, "connection-lost", false },
+  { FailureReason::kWriteFailed, "write-failed", false },
+  { FailureReason::kTimeout, "no-answer-in-time", false },
+  { FailureReason::kMalformedResponse, "malformed-response", true },
+  { FailureReason::kForeignResponse, "foreign-response", true },
+  { FailureReason::kTooManyResponses, "too-many-responses", true },
+  { FailureReason::kResponseTooLarge, "response-too-large", true },
+  { FailureReason::kReceiveBudgetExhausted, "receive-budget-exhausted", true },
+  { FailureReason::kUnexpectedBytes, "unexpected-bytes", true },
+};
+
+const ReasonTraits&
+TraitsOf(FailureReason aReason)
+{
+  return kReasons[static_cast<size_t>(aReason)];
+}
+
 } // namespace
 
-ClientConnection::ClientConnection(asio::io_context& aIo, ParseLimits aLimits)
+std::string_view
+ToString(FailureReason aReason)
+{
+  return TraitsOf(aReason).name;
+}
+
+bool
+IsInvalidResponse(FailureReason aReason)
+{
+  return TraitsOf(aReason).isInvalidResponse;
+}
+
+ClientConnection::ClientConnection(asio::io_context& aIo,
+                                   ParseLimits aLimits,
+                                   ReceiveBudget* aBudget)
   : m_socket(aIo)
   , m_timer(aIo)
   , m_writer(
       m_socket,
       [] {},
-      [this] { OnConnectionEnd("write-failed", false); })
+      [this] { OnConnectionEnd(FailureReason::kWriteFailed, false); })
   , m_limits(aLimits)
+  , m_received(aBudget)
 {
 }
 
 std::shared_ptr<ClientConnection>
-ClientConnection::Make(asio::io_context& aIo, ParseLimits aLimits)
+ClientConnection::Make(asio::io_context& aIo,
+                       ParseLimits aLimits,
+                       ReceiveBudget* aBudget)
 {
-  return std::shared_ptr<ClientConnection>(new ClientConnection(aIo, aLimits));
+  return std::shared_ptr<ClientConnection>(
+    new ClientConnection(aIo, aLimits, aBudget));
 }
 
 void
@@ -42,7 +92,7 @@
 {
   m_state = State::kConnecting;
   m_onConnected = std::move(aDone);
-  StartTimer(aTimeout, "connect-timeout");
+  StartTimer(aTimeout, FailureReason::kConnectTimeout);
   m_socket.async_connect(
     aEndpoint,
     [self = shared_from_this(), aSilenceTimeout](const std::error_code& aCode) {
@@ -50,7 +100,7 @@
         return;
       }
       if (aCode) {
-        self->OnConnectionEnd("connect-failed", false);
+        self->OnConnectionEnd(FailureReason::kConnectFailed, false);
         return;
       }
       self->m_timer.cancel();
@@ -72,10 +122,11 @@
   m_onIdleClosed = nullptr;
   m_sentBytesBefore = m_writer.SentBytes();
   m_skippedResponses = 0;
+  m_interimResponses = 0;
   m_responseStarted = false;
   m_parser = std::make_unique<ResponseParser>(m_limits, m_request.isHead);
   if (m_request.timeout > Duration{}) {
-    StartTimer(m_request.timeout, "no-answer-in-time");
+    StartTimer(m_request.timeout, FailureReason::kTimeout);
   }
   m_writer.Write(std::exchange(m_request.bytes, {}), shared_from_this());
   WaitReadable();
@@ -85,6 +136,7 @@
 ClientConnection::Close()
 {
   m_state = State::kClosed;
+  m_received.Release();
   m_onConnected = nullptr;
   m_onResult = nullptr;
   m_onIdleClosed = nullptr;
@@ -111,7 +163,7 @@
     [self = shared_from_this()](const std::error_code& aCode) {
       self->m_waitingReadable = false;
       if (aCode) {
-        self->OnConnectionEnd("connection-lost", false);
+        self->OnConnectionEnd(FailureReason::kConnectionLost, false);
       } else {
         self->OnReadable();
       }
@@ -130,14 +182,17 @@
     return;
   }
   if (received.state != net::ReadStatus::kBytes) {
-    OnConnectionEnd("connection-lost",
+    OnConnectionEnd(FailureReason::kConnectionLost,
                     received.state == net::ReadStatus::kEndOfStream);
     return;
   }
   if (m_state == State::kIdle) {
     // Without a pending request, these bytes would be taken for the response
     // to the next one.
-    OnConnectionEnd("unexpected-bytes", false);
+    OnConnectionEnd(FailureReason::kUnexpectedBytes, false);
+    return;
+  }
+  if (!AcceptReceived(received.bytes.size())) {
     return;
   }
   m_input.append(received.bytes);
@@ -146,6 +201,21 @@
   }
 }
 
+bool
+ClientConnection::AcceptReceived(size_t aBytes)
+{
+  m_responseStarted = true;
+  if (!m_received.Grow(aBytes)) {
+    OnConnectionEnd(FailureReason::kReceiveBudgetExhausted, false);
+    return false;
+  }
+  if (m_received.Bytes() > m_limits.maxHeaderBytes + m_limits.maxBodyBytes) {
+    OnConnectionEnd(FailureReason::kResponseTooLarge, false);
+    return false;
+  }
+  return true;
+}
+
 bool
 ClientConnection::ParseInput()
 {
@@ -157,8 +227,12 @@
         progress.state == ParseState::kBody) {
       return true;
     }
+    if (progress.state == ParseState::kBodyTooLarge) {
+      OnConnectionEnd(FailureReason::kResponseTooLarge, false);
+      return false;
+    }
     if (progress.state != ParseState::kComplete) {
-      OnConnectionEnd("malformed-response", false);
+      OnConnectionEnd(FailureReason::kMalformedResponse, false);
       return false;
     }
     if (HandleResponse()) {
@@ -185,11 +259,13 @@
     Finish(std::move(result), reusable);
     return true;
   }
-  if (!informational) {
-    ++m_skippedResponses;
+  ++(informational ? m_interimResponses : m_skippedResponses);
+  if (m_interimResponses + m_skippedResponses > kMaxDroppedResponses) {
+    OnConnectionEnd(FailureReason::kTooManyResponses, false);
+    return true;
   }
   if (!reusable) {
-    OnConnectionEnd("foreign-response", false);
+    OnConnectionEnd(FailureReason::kForeignResponse, false);
     return true;
   }
   m_parser = std::make_unique<ResponseParser>(m_limits, m_request.isHead);
@@ -198,7 +274,7 @@
 }
 
 void
-ClientConnection::OnConnectionEnd(std::string_view aReason, bool aOrderlyClose)
+ClientConnection::OnConnectionEnd(FailureReason aReason, bool aOrderlyClose)
 {
   if (m_state == State::kClosed) {
     return;
@@ -226,6 +302,7 @@
   failure.requestSent = m_writer.SentBytes() > m_sentBytesBefore;
   failure.responseStarted = m_responseStarted;
   failure.reason = aReason;
+  failure.receivedBytes = m_received.Bytes();
   Finish(failure, false);
 }
 
@@ -234,6 +311,7 @@
 {
   auto done = std::exchange(m_onResult, nullptr);
   m_timer.cancel();
+  m_received.Release();
   m_parser.reset();
   // Do not reuse the connection if bytes follow the response, or if the server
   // responded before the whole request was sent: the remaining bytes would be
@@ -251,7 +329,7 @@
 }
 
 void
-ClientConnection::StartTimer(Duration aTimeout, std::string_view aReason)
+ClientConnection::StartTimer(Duration aTimeout, FailureReason aReason)
 {
   m_timer.expires_after(aTimeout);
   m_timer.async_wait(
--- a/wagtailbend/http1/client_connection.h
+++ b/wagtailbend/http1/client_connection.h
@@ -21,6 +21,7 @@
 #include "wagtailbend/base/time.h"
 #include "wagtailbend/http1/message.h"
 #include "wagtailbend/http1/parser.h"
+#include "wagtailbend/http1/receive_budget.h"
 #include "wagtailbend/net/stream_writer.h"
 
 namespace wagtailbend::http1 {
@@ -33,6 +34,40 @@
   uint32_t skippedResponses = 0;
 };
 
+/// Why a connection or a request failed.
+enum class FailureReason : uint8_t
+{
+  kConnectTimeout,
+  kConnectFailed,
+  kConnectionLost,
+  kWriteFailed,
+  /// No complete response arrived before the request's timeout.
+  kTimeout,
+  /// The bytes received are no HTTP response.
+  kMalformedResponse,
+  /// The connection ended after a response to another request.
+  kForeignResponse,
+  /// Too many interim responses, or responses to other requests, came before
+  /// the expected one.
+  kTooManyResponses,
+  /// More bytes arrived than the parse limits allow, dropped responses and the
+  /// framing of the body included.
+  kResponseTooLarge,
+  /// The budget for responses that are being received is used up.
+  kReceiveBudgetExhausted,
+  /// Bytes arrived while no request was pending.
+  kUnexpectedBytes,
+};
+
+/// Returns a short name for logs, such as "connection-lost". Thread-safe.
+std::string_view
+ToString(FailureReason aReason);
+
+/// Whether the server sent bytes that are not an acceptable response.
+/// Thread-safe.
+bool
+IsInvalidResponse(FailureReason aReason);
+
 /// The outcome of a request without a complete response.
 struct NoResponse
 {
@@ -41,8 +76,9 @@
   bool requestSent = false;
   /// Part of a response was received.
   bool responseStarted = false;
-  /// Why the request failed; refers to a string literal.
-  std::string_view reason;
+  FailureReason reason = FailureReason::kConnectionLost;
+  /// Bytes received for the request.
+  size_t receivedBytes = 0;
 };
 
 using ClientResult = std::variant<CompleteResponse, NoResponse>;
@@ -66,8 +102,13 @@
 class ClientConnection : public std::enable_shared_from_this<ClientConnection>
 {
 public:
-  static std::shared_ptr<ClientConnection> Make(asio::io_context& aIo,
-                                                ParseLimits aLimits);
+  /// At most maxHeaderBytes + maxBodyBytes are received for one request.
+  /// aBudget, if not null, is shared with other connections and must outlive
+  /// this one.
+  static std::shared_ptr<ClientConnection> Make(
+    asio::io_context& aIo,
+    ParseLimits aLimits,
+    ReceiveBudget* aBudget = nullptr);
 
   /// aDone is called once, never inside Connect, unless Close is called first.
   /// aSilenceTimeout is passed to net::ConfigureSocket.
@@ -95,7 +136,9 @@
   void SetIdleCloseHandler(std::function<void()> aClosed);
 
 private:
-  ClientConnection(asio::io_context& aIo, ParseLimits aLimits);
+  ClientConnection(asio::io_context& aIo,
+                   ParseLimits aLimits,
+                   ReceiveBudget* aBudget);
 
   enum class State : uint8_t
   {
@@ -108,11 +151,14 @@
 
   void WaitReadable();
   void OnReadable();
-  void OnConnectionEnd(std::string_view aReason, bool aOrderlyClose);
+  void OnConnectionEnd(FailureReason aReason, bool aOrderlyClose);
+  /// Counts received bytes. Ends the connection and returns false if they
+  /// exceed a limit.
+  bool AcceptReceived(size_t aBytes);
   bool ParseInput();
   bool HandleResponse();
   void Finish(ClientResult aResult, bool aReuse);
-  void StartTimer(Duration aTimeout, std::string_view aReason);
+  void StartTimer(Duration aTimeout, FailureReason aReason);
   void ParseKeepAlive(const Headers& aHeaders);
 
   asio::ip::tcp::socket m_socket;
@@ -127,9 +173,12 @@
   uint64_t m_sentBytesBefore = 0;
   std::unique_ptr<ResponseParser> m_parser;
   std::string m_input;
+  /// Bytes received for the current request.
+  ReceiveReservation m_received;
   bool m_responseStarted = false;
   bool m_waitingReadable = false;
   uint32_t m_skippedResponses = 0;
+  uint32_t m_interimResponses = 0;
   TimePoint m_idleSince;
   std::optional<Duration> m_keepAliveTime;
 };
--- a/wagtailbend/http1/parser.cc
+++ b/wagtailbend/http1/parser.cc
@@ -3,6 +3,9 @@
 
 #include "wagtailbend/http1/parser.h"
 
+#include <cstdint>
+#include <utility>
+
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/basic_parser.hpp>
 #include <boost/beast/http/error.hpp>
@@ -10,6 +13,10 @@
 namespace wagtailbend::http1 {
 namespace {
 
+// Limit on the bytes that frame a body, per byte of the body. Chunks of one
+// byte need six.
+constexpr uint64_t kMaxFramingBytesPerBodyByte = 8;
+
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 using ErrorCode = beast::error_code;
@@ -45,6 +52,7 @@
 {
 public:
   explicit MessageCollector(ParseLimits aLimits)
+    : m_limits(aLimits)
   {
     this->header_limit(aLimits.maxHeaderBytes);
     this->body_limit(aLimits.maxBodyBytes);
@@ -52,6 +60,43 @@
   }
 
   ParseProgress FeedBytes(std::string_view aBytes)
+  {
+    ParseProgress progress = ParseBytes(aBytes);
+    m_consumedBytes += progress.consumed;
+    const size_t unparsedBytes = aBytes.size() - progress.consumed;
+    if (progress.state == ParseState::kBody &&
+        (unparsedBytes > m_limits.maxHeaderBytes || IsFramingTooLarge())) {
+      progress.state = ParseState::kMalformed;
+    }
+    return progress;
+  }
+
+  ParseState State() const
+  {
+    if (this->is_done()) {
+      return ParseState::kComplete;
+    }
+    return this->is_header_done() ? ParseState::kBody : ParseState::kHeader;
+  }
+
+  Headers m_headers;
+  std::string m_body;
+  bool m_expectsContinue = false;
+
+protected:
+  bool IsInHeader() const { return !m_headerDone; }
+
+private:
+  /// Beast limits the header section and the body, but not chunk extensions
+  /// and trailers.
+  bool IsFramingTooLarge() const
+  {
+    return m_consumedBytes - m_body.size() >
+           2 * uint64_t{ m_limits.maxHeaderBytes } +
+             kMaxFramingBytesPerBodyByte * m_body.size();
+  }
+
+  ParseProgress ParseBytes(std::string_view aBytes)
   {
     ParseProgress progress;
     ErrorCode code;
@@ -76,22 +121,6 @@
     return progress;
   }
 
-  ParseState State() const
-  {
-    if (this->is_done()) {
-      return ParseState::kComplete;
-    }
-    return this->is_header_done() ? ParseState::kBody : ParseState::kHeader;
-  }
-
-  Headers m_headers;
-  std::string m_body;
-  bool m_expectsContinue = false;
-
-protected:
-  bool IsInHeader() const { return !m_headerDone; }
-
-private:
   void on_field_impl(http::field aField,
                      beast::string_view aName,
                      beast::string_view aValue,
@@ -159,6 +188,8 @@
 
   void on_finish_impl(ErrorCode& aCode) override { aCode = {}; }
 
+  const ParseLimits m_limits;
+  uint64_t m_consumedBytes = 0;
   bool m_headerDone = false;
   bool m_hasTransferCoding = false;
   bool m_hasContentLength = false;
--- a/wagtailbend/http1/parser_test.cc
+++ b/wagtailbend/http1/parser_test.cc
@@ -69,6 +69,16 @@
   return "POST /a/b HTTP/1.1\r\nHost: h\r\n" + aHeaders + "\r\n" + aBody;
 }
 
+std::string
+Repeat(const std::string& aText, int aTimes)
+{
+  std::string repeated;
+  for (int i = 0; i < aTimes; ++i) {
+    repeated += aText;
+  }
+  return repeated;
+}
+
 INSTANTIATE_TEST_SUITE_P(
   Requests,
   RequestCases,
@@ -115,6 +125,22 @@
     FramingCase{ "LargeBody",
                  Post("Content-Length: 5000\r\n", std::string(5000, 'x')),
                  ParseState::kBodyTooLarge },
+    FramingCase{
+      "LongChunkExtension",
+      Post("Transfer-Encoding: chunked\r\n", "1;" + std::string(2000, 'x')),
+      ParseState::kMalformed },
+    FramingCase{ "LongTrailer",
+                 Post("Transfer-Encoding: chunked\r\n",
+                      "0\r\nX: " + std::string(2000, 'x')),
+                 ParseState::kMalformed },
+    FramingCase{ "ManyChunkExtensions",
+                 Post("Transfer-Encoding: chunked\r\n",
+                      Repeat("1;" + std::string(200, 'x') + "\r\nx\r\n", 20)),
+                 ParseState::kMalformed },
+    FramingCase{ "ChunksOfOneByte",
+                 Post("Transfer-Encoding: chunked\r\n",
+                      Repeat("1\r\nx\r\n", 1000) + "0\r\n\r\n"),
+                 ParseState::kComplete },
     FramingCase{ "Unfinished",
                  Post("Content-Length: 3\r\n", "ab"),
                  ParseState::kBody },
--- a/wagtailbend/node/traffic_log.cc
+++ b/wagtailbend/node/traffic_log.cc
@@ -56,6 +56,22 @@
   event.Info();
 }
 
+void
+TrafficLog::LogInvalidResponse(const exchange::Attempt& aAttempt,
+                               const http1::NoResponse& aFailure,
+                               TimePoint aNow)
+{
+  if (!m_invalidResponseLimiter.Admit(aNow)) {
+    return;
+  }
+  observability::Event("target_invalid_response")
+    .Add("request", aAttempt.requestId)
+    .Add("route", aAttempt.route)
+    .Add("reason", http1::ToString(aFailure.reason))
+    .Add("received_bytes", aFailure.receivedBytes)
+    .Warn();
+}
+
 void
 TrafficLog::LogSuppressedCounts(TimePoint aNow)
 {
@@ -65,12 +81,14 @@
   m_suppressedLoggedAt = aNow;
   const uint64_t responded = m_respondedLimiter.TakeSuppressed();
   const uint64_t failed = m_failedLimiter.TakeSuppressed();
-  if (responded + failed == 0) {
+  const uint64_t invalid = m_invalidResponseLimiter.TakeSuppressed();
+  if (responded + failed + invalid == 0) {
     return;
   }
   observability::Event("request_lines_left_out")
     .Add("answered", responded)
     .Add("failed", failed)
+    .Add("invalid", invalid)
     .Info();
 }
 
--- a/wagtailbend/node/traffic_log.h
+++ b/wagtailbend/node/traffic_log.h
@@ -14,6 +14,11 @@
   /// Logs a completed request. Failed requests and requests with a response of
   /// their target have separate rate limits.
   void LogRequest(const exchange::RequestSummary& aSummary, TimePoint aNow);
+  /// Logs an attempt that ended because the target sent bytes that are no
+  /// acceptable response.
+  void LogInvalidResponse(const exchange::Attempt& aAttempt,
+                          const http1::NoResponse& aFailure,
+                          TimePoint aNow);
   /// Logs the numbers of suppressed lines, at most once per second.
   void LogSuppressedCounts(TimePoint aNow);
 
@@ -22,6 +27,7 @@
   /// together stay below 0.1% of a core.
   observability::EventRateLimiter m_respondedLimiter{ 5 };
   observability::EventRateLimiter m_failedLimiter{ 40 };
+  observability::EventRateLimiter m_invalidResponseLimiter{ 5 };
   TimePoint m_suppressedLoggedAt{};
 };
 
--- a/wagtailbend/node/traffic_metrics.cc
+++ b/wagtailbend/node/traffic_metrics.cc
@@ -36,6 +36,9 @@
     { "wb_target_unknown",
       "Requests with unknown outcome.",
       &m_unknownOutcomes },
+    { "wb_target_invalid_responses",
+      "Attempts that ended because of invalid response bytes.",
+      &m_invalidResponses },
     { "wb_target_connects", "Connections opened to the target.", &m_connects },
     { "wb_open_requests", "Requests not answered yet.", &m_openRequests },
     { "wb_links_up", "Links to other daemons.", &m_linksUp },
@@ -96,6 +99,7 @@
   m_sent = static_cast<double>(aCounts.sent);
   m_rejectedByTarget = static_cast<double>(aCounts.rejectedByTarget);
   m_unknownOutcomes = static_cast<double>(aCounts.unknown);
+  m_invalidResponses = static_cast<double>(aCounts.invalidResponses);
   m_connects = static_cast<double>(aCounts.connects);
 }
 
--- a/wagtailbend/node/traffic_node.cc
+++ b/wagtailbend/node/traffic_node.cc
@@ -24,6 +24,9 @@
 constexpr uint32_t kReservedDescriptors = 1200;
 constexpr http1::ParseLimits kResponseLimits = { 64UL * 1024,
                                                  16UL * 1024 * 1024 };
+// Share of the memory limit for responses that are being received from the
+// target.
+constexpr uint64_t kResponseMemoryDivisor = 16;
 // Assumed round-trip times until one is measured.
 constexpr Duration kSameRegionRoundTrip = std::chrono::milliseconds(3);
 constexpr Duration kOtherRegionRoundTrip = std::chrono::milliseconds(60);
@@ -80,6 +83,7 @@
   options.target = net::ParseEndpoint(aSettings.targetAddress).value();
   options.service = aSettings.service;
   options.responseLimits = kResponseLimits;
+  options.receiveBudgetBytes = aSettings.memoryBytes / kResponseMemoryDivisor;
   return options;
 }
 
@@ -802,6 +806,13 @@
     m_settings.service, exchange::ClaimOf(aAttempt), BootNow());
 }
 
+void
+TrafficNode::OnInvalidResponse(const exchange::Attempt& aAttempt,
+                               const http1::NoResponse& aFailure)
+{
+  m_log.LogInvalidResponse(aAttempt, aFailure, BootNow());
+}
+
 void
 TrafficNode::EndRun(uint64_t aFingerprint, bool aSurvived)
 {
--- a/wagtailbend/node/traffic_node.h
+++ b/wagtailbend/node/traffic_node.h
@@ -129,6 +129,8 @@
   void OnTargetCrashed(const std::vector<uint64_t>& aFingerprints) override;
   bool BeginRun(uint64_t aFingerprint) override;
   bool TryTakeRetry(const exchange::Attempt& aAttempt) override;
+  void OnInvalidResponse(const exchange::Attempt& aAttempt,
+                         const http1::NoResponse& aFailure) override;
   void EndRun(uint64_t aFingerprint, bool aSurvived) override;
   std::array<double, gate::kPriorityClasses> DownstreamAdmissionLevels(
     const std::string& aRoute) override;
