Deliver a target's failure response when its retry brings none

Cause: a response with status 500 of an idempotent request starts a retry at another target. If that one was rejected, lost, unanswered at the deadline, or if no other target was left, the client got an empty 502 or 504 of the daemon's own, although a response of the target was at hand. The users ask that ready responses are delivered.

Ruled out: retrying less. The budget and the number of attempts are unchanged.

Change: the dispatcher keeps the response and sends it in place of its own 502 or 504.

--- a/wagtailbend/exchange/request_dispatcher.cc
+++ b/wagtailbend/exchange/request_dispatcher.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <optional>
 #include <utility>
 
 #include <fmt/format.h>
@@ -94,6 +95,8 @@
   /// Daemons whose targets received the request.
   std::vector<std::string> receivedBy;
   std::vector<Rejection> rejections;
+  /// A target's response with status 500, sent if a retry brings no response.
+  std::optional<http1::ResponseMessage> failedResponse;
   Attempt attempt;
   AttemptChannel* channel = nullptr;
   std::string address;
@@ -405,6 +408,7 @@
       TryTakeRetry(*aOpenRequest, BootNow())) {
     aOpenRequest->mayHaveRun = true;
     aOpenRequest->isRetry = true;
+    aOpenRequest->failedResponse = std::move(aResult.response);
     StartAttempt(aOpenRequest);
     return;
   }
@@ -588,7 +592,10 @@
 {
   aOpenRequest->summary.error = aKind;
   aOpenRequest->summary.detail = std::move(aDetail);
-  SendResponse(aOpenRequest, MakeEmptyResponse(aStatus));
+  SendResponse(aOpenRequest,
+               aOpenRequest->failedResponse
+                 ? std::move(*aOpenRequest->failedResponse)
+                 : MakeEmptyResponse(aStatus));
 }
 
 void
--- a/wagtailbend/exchange/request_dispatcher.h
+++ b/wagtailbend/exchange/request_dispatcher.h
@@ -145,6 +145,8 @@
   void Reject(const OpenRequestPtr& aOpenRequest,
               ErrorKind aKind,
               std::string aDetail);
+  /// Responds with the target's failure that was held back for a retry, if
+  /// there is one, otherwise with an empty response of status aStatus.
   void Fail(const OpenRequestPtr& aOpenRequest,
             int aStatus,
             ErrorKind aKind,
--- a/wagtailbend/exchange/request_dispatcher_test.cc
+++ b/wagtailbend/exchange/request_dispatcher_test.cc
@@ -331,6 +331,57 @@
   EXPECT_TRUE(Channel(1).m_attempts.empty());
 }
 
+struct UselessRetryCase
+{
+  const char* name;
+  /// What the second target does with the retry of a request that failed with
+  /// status 500 at the first; nothing: it does not respond.
+  std::vector<AttemptResult> second;
+};
+
+class UselessRetries
+  : public EntryTest
+  , public ::testing::WithParamInterface<UselessRetryCase>
+{};
+
+// Guards against replacing a response that a target has made by one of the
+// daemon's own because a retry brought nothing better.
+TEST_P(UselessRetries, DeliverTheFirstResponse)
+{
+  SetConfig(milliseconds(100));
+  Channel(0).m_script = { Responded(500) };
+  Channel(1).m_script = GetParam().second;
+  Send("/lookup/1");
+  const std::string response = Received(400);
+  EXPECT_EQ(StatusOf(response), 500);
+  EXPECT_TRUE(Has(response, "Seal: s"));
+  EXPECT_TRUE(Has(response, "body"));
+  EXPECT_EQ(Channel(1).m_attempts.size(), 1U);
+  EXPECT_EQ(m_observer.m_summaries.size(), 1U);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Faults,
+  UselessRetries,
+  ::testing::Values(UselessRetryCase{ "RejectedWithoutArriving",
+                                      { Failed(Outcome::kNotRun, false) } },
+                    UselessRetryCase{ "RejectedByTheTarget",
+                                      { Failed(Outcome::kNotRun, true) } },
+                    UselessRetryCase{ "ConnectionLost",
+                                      { Failed(Outcome::kUnknown, true) } },
+                    UselessRetryCase{ "NoResponse", {} }),
+  [](const auto& aInfo) { return aInfo.param.name; });
+
+// Guards against the same where no other target is left for the retry.
+TEST_F(EntryTest, DeliversAFailureIfNoOtherTargetIsLeft)
+{
+  m_directory.m_channels.resize(1);
+  Channel(0).m_script = { Responded(500) };
+  const std::string response = Request("/lookup/1");
+  EXPECT_EQ(StatusOf(response), 500);
+  EXPECT_TRUE(Has(response, "Seal: s"));
+}
+
 // Guards against a request that waits beyond the timeout of its route, and
 // against reporting it as not run although it may run.
 TEST_F(EntryTest, RespondsAtTheRoutesTimeout)
