Test requests behind a closing response and silent connections

No test covered requests behind a response that closes the connection (the client's wish, SIGTERM, a malformed or too large request, the idle limit), nor the later use of a silent connection.

Found: the code holds already; no product change.

--- a/wagtailbend/exchange/target_gateway_test.cc
+++ b/wagtailbend/exchange/target_gateway_test.cc
@@ -379,6 +379,33 @@
   EXPECT_TRUE(m_server.Requests().empty());
 }
 
+// Guards against using a connection again on which a full target has fallen
+// silent: it answers nothing that comes later on it, either.
+TEST_F(TargetGatewayTest, ASilentConnectionIsNotUsedAgain)
+{
+  SetTarget(true, 1);
+  m_server.AddResponse(Ok("x"));
+  m_server.AddResponse("");
+  m_server.AddResponse(Ok("y"));
+  EXPECT_EQ(RunOne(MakeAttempt(1)).outcome, Outcome::kResponded);
+  for (const bool idempotent : { false, true }) {
+    m_results.clear();
+    const AttemptResult result = RunOne(MakeAttempt(2, idempotent));
+    if (result.outcome == Outcome::kResponded) {
+      break;
+    }
+    // The target may have run it, so that only the caller can decide.
+    EXPECT_EQ(result.outcome, Outcome::kUnknown);
+    EXPECT_EQ(result.error.kind, ErrorKind::kDeadlineExceeded);
+    EXPECT_TRUE(result.reachedTarget);
+  }
+  EXPECT_EQ(m_server.Requests().size(), 3U);
+  // The first two requests share a connection, the third has one of its own.
+  EXPECT_EQ(m_server.AcceptedConnections(), 2U);
+  EXPECT_EQ(m_gateway->RunningCount(), 0U);
+  EXPECT_GT(m_gateway->Report("r").failureShare, 0.0);
+}
+
 // Guards against a target in trouble whose endless responses hold slots until
 // the deadline, are retried on the same connection, or go unnoticed.
 TEST_F(TargetGatewayTest, EndlessResponseEndsTheAttempt)
--- a/wagtailbend/http1/server_test.cc
+++ b/wagtailbend/http1/server_test.cc
@@ -109,6 +109,103 @@
   EXPECT_EQ(m_handler.m_requests.size(), 2U);
 }
 
+struct PipelineCase
+{
+  const char* name;
+  std::string bytes;
+  bool announceClose;
+  /// Requests that reach the handler.
+  size_t handled;
+  /// Status lines that the client receives.
+  std::vector<std::string> statuses;
+};
+
+class ClosedPipelines
+  : public ServerTest
+  , public ::testing::WithParamInterface<PipelineCase>
+{};
+
+// Guards against running requests that were sent behind a response that closes
+// the connection. The client counts them as not read and sends them again,
+// which would run an order twice.
+TEST_P(ClosedPipelines, RequestsBehindTheCloseAreNotHandled)
+{
+  m_handler.m_respondAtOnce = false;
+  auto socket = Connect();
+  std::string received = Exchange(socket, GetParam().bytes);
+  if (GetParam().announceClose) {
+    m_server->AnnounceClose();
+  }
+  // The handler responds with a delay, as it does to requests of a target.
+  for (size_t i = 0; i < m_handler.m_requests.size(); ++i) {
+    m_handler.Respond(i);
+    Run(20);
+  }
+  // More bytes must not be handled either while the connection lingers.
+  std::error_code ignored;
+  asio::write(socket, asio::buffer(Get("/late")), ignored);
+  Run(100);
+  received += ReadAvailable(socket);
+  EXPECT_EQ(m_handler.m_requests.size(), GetParam().handled);
+  size_t position = 0;
+  for (const std::string& status : GetParam().statuses) {
+    position = received.find("HTTP/1.1 " + status, position);
+    ASSERT_NE(position, std::string::npos) << status << " in " << received;
+    ++position;
+  }
+  EXPECT_EQ(received.find("HTTP/1.1 ", position), std::string::npos);
+  EXPECT_NE(received.find("Connection: close"), std::string::npos);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Closes,
+  ClosedPipelines,
+  ::testing::Values(
+    PipelineCase{ "ClientAsksForClose",
+                  "GET /1 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n" +
+                    Get("/2") + Get("/3"),
+                  false,
+                  1,
+                  { "200" } },
+    PipelineCase{ "ServerAnnouncesClose",
+                  Get("/1") + Get("/2") + Get("/3"),
+                  true,
+                  1,
+                  { "200" } },
+    PipelineCase{ "MalformedRequest",
+                  Get("/1") + "BAD\r\n\r\n" + Get("/3"),
+                  false,
+                  1,
+                  { "200", "400" } },
+    PipelineCase{ "LargeBody",
+                  Get("/1") +
+                    "POST /2 HTTP/1.1\r\nHost: h\r\n"
+                    "Content-Length: 99999\r\n\r\n" +
+                    Get("/3"),
+                  false,
+                  1,
+                  { "200", "413" } },
+    PipelineCase{ "MalformedFirst",
+                  "BAD\r\n\r\n" + Get("/2"),
+                  false,
+                  0,
+                  { "400" } }),
+  [](const auto& aInfo) { return aInfo.param.name; });
+
+// Guards against handling a request that arrives on a connection which the idle
+// limit has just closed: its client sends it again.
+TEST_F(ServerTest, RequestsAfterTheIdleLimitAreNotHandled)
+{
+  auto socket = Connect();
+  Exchange(socket, Get("/1"));
+  Run(300);
+  std::error_code ignored;
+  asio::write(socket, asio::buffer(Get("/2")), ignored);
+  Run(50);
+  EXPECT_EQ(m_handler.m_requests.size(), 1U);
+  EXPECT_EQ(ReadAvailable(socket), "(closed)");
+}
+
 // Guards against work on requests whose client has disconnected.
 TEST_F(ServerTest, ReportsClientDisconnect)
 {
