Share ownership of the receive budget with the connections

A connection held a plain pointer to the budget in its gateway, but the event loop keeps a connection until its last operation completes, after the gateway is gone. Its reservation was then returned to freed memory. The gateway's tests that replace a gateway did that as well.

Change: the budget is owned by the connections and the gateway together.

Behaviour is unchanged otherwise.

--- a/wagtailbend/exchange/target_gateway.cc
+++ b/wagtailbend/exchange/target_gateway.cc
@@ -63,7 +63,8 @@
   , m_names(std::move(aNames))
   , m_options(std::move(aOptions))
   , m_observer(aObserver)
-  , m_receiveBudget(m_options.receiveBudgetBytes)
+  , m_receiveBudget(
+      std::make_shared<http1::ReceiveBudget>(m_options.receiveBudgetBytes))
 {
 }
 
@@ -319,7 +320,7 @@
   ++m_counts.connects;
   ++m_openConnections;
   auto connection = http1::ClientConnection::Make(
-    m_io, m_options.responseLimits, &m_receiveBudget);
+    m_io, m_options.responseLimits, m_receiveBudget);
   m_pending.at(aKey).connection = connection;
   connection->Connect(m_options.target,
                       kConnectTimeout,
@@ -528,7 +529,7 @@
   ++m_counts.connects;
   ++m_openConnections;
   m_probe = http1::ClientConnection::Make(
-    m_io, m_options.responseLimits, &m_receiveBudget);
+    m_io, m_options.responseLimits, m_receiveBudget);
   m_probe->Connect(
     m_options.target,
     kConnectTimeout,
--- a/wagtailbend/exchange/target_gateway.h
+++ b/wagtailbend/exchange/target_gateway.h
@@ -199,7 +199,9 @@
   const http1::ProtocolNames m_names;
   const GatewayOptions m_options;
   GatewayObserver& m_observer;
-  http1::ReceiveBudget m_receiveBudget;
+  /// Shared, since connections end after the gateway: the event loop holds
+  /// them until their last operation completes.
+  std::shared_ptr<http1::ReceiveBudget> m_receiveBudget;
   targets::TargetView m_view;
   std::optional<TimePoint> m_closeEnd;
   bool m_closed = false;
--- a/wagtailbend/http1/client_connection.cc
+++ b/wagtailbend/http1/client_connection.cc
@@ -63,7 +63,7 @@
 
 ClientConnection::ClientConnection(asio::io_context& aIo,
                                    ParseLimits aLimits,
-                                   ReceiveBudget* aBudget)
+                                   std::shared_ptr<ReceiveBudget> aBudget)
   : m_socket(aIo)
   , m_timer(aIo)
   , m_writer(
@@ -71,17 +71,17 @@
       [] {},
       [this] { OnConnectionEnd(FailureReason::kWriteFailed, false); })
   , m_limits(aLimits)
-  , m_received(aBudget)
+  , m_received(std::move(aBudget))
 {
 }
 
 std::shared_ptr<ClientConnection>
 ClientConnection::Make(asio::io_context& aIo,
                        ParseLimits aLimits,
-                       ReceiveBudget* aBudget)
+                       std::shared_ptr<ReceiveBudget> aBudget)
 {
   return std::shared_ptr<ClientConnection>(
-    new ClientConnection(aIo, aLimits, aBudget));
+    new ClientConnection(aIo, aLimits, std::move(aBudget)));
 }
 
 void
--- a/wagtailbend/http1/client_connection.h
+++ b/wagtailbend/http1/client_connection.h
@@ -103,12 +103,11 @@
 {
 public:
   /// At most maxHeaderBytes + maxBodyBytes are received for one request.
-  /// aBudget, if not null, is shared with other connections and must outlive
-  /// this one.
+  /// aBudget, if not null, is shared with other connections.
   static std::shared_ptr<ClientConnection> Make(
     asio::io_context& aIo,
     ParseLimits aLimits,
-    ReceiveBudget* aBudget = nullptr);
+    std::shared_ptr<ReceiveBudget> aBudget = nullptr);
 
   /// aDone is called once, never inside Connect, unless Close is called first.
   /// aSilenceTimeout is passed to net::ConfigureSocket.
@@ -138,7 +137,7 @@
 private:
   ClientConnection(asio::io_context& aIo,
                    ParseLimits aLimits,
-                   ReceiveBudget* aBudget);
+                   std::shared_ptr<ReceiveBudget> aBudget);
 
   enum class State : uint8_t
   {
--- a/wagtailbend/http1/endless_response_test.cc
+++ b/wagtailbend/http1/endless_response_test.cc
@@ -13,7 +13,6 @@
 
 using std::chrono::milliseconds;
 using std::chrono::seconds;
-using testing::EndlessResponse;
 using testing::EndlessServer;
 
 constexpr ParseLimits kLimits = { .maxHeaderBytes = 16UL * 1024,
@@ -37,7 +36,7 @@
 Exchange
 SendTo(asio::io_context& aIo,
        const EndlessServer& aServer,
-       ReceiveBudget* aBudget,
+       const std::shared_ptr<ReceiveBudget>& aBudget,
        Duration aTimeout)
 {
   Exchange exchange;
@@ -74,7 +73,8 @@
 {
 protected:
   asio::io_context m_io;
-  ReceiveBudget m_budget{ 1024UL * 1024 };
+  std::shared_ptr<ReceiveBudget> m_budget =
+    std::make_shared<ReceiveBudget>(1024UL * 1024);
 };
 
 // Guards against a target in trouble that occupies memory, the traffic thread
@@ -82,7 +82,7 @@
 TEST_P(EndlessResponseTest, EndsEarlyAndClosesTheConnection)
 {
   EndlessServer server(m_io, { GetParam().start, GetParam().repeated });
-  const Exchange exchange = SendTo(m_io, server, &m_budget, kRequestTimeout);
+  const Exchange exchange = SendTo(m_io, server, m_budget, kRequestTimeout);
   ASSERT_TRUE(exchange.result &&
               std::holds_alternative<NoResponse>(*exchange.result));
   const auto& failure = std::get<NoResponse>(*exchange.result);
@@ -92,7 +92,7 @@
   EXPECT_LE(failure.receivedBytes,
             kLimits.maxHeaderBytes + kLimits.maxBodyBytes + kReadSlackBytes);
   EXPECT_FALSE(exchange.connection->IsReady());
-  EXPECT_EQ(m_budget.UsedBytes(), 0U);
+  EXPECT_EQ(m_budget->UsedBytes(), 0U);
 }
 
 // Guards against a slow sender that keeps a request open past its deadline.
@@ -100,13 +100,13 @@
 {
   EndlessServer server(
     m_io, { GetParam().start, GetParam().repeated.substr(0, 1), seconds(1) });
-  const Exchange exchange = SendTo(m_io, server, &m_budget, milliseconds(300));
+  const Exchange exchange = SendTo(m_io, server, m_budget, milliseconds(300));
   ASSERT_TRUE(exchange.result &&
               std::holds_alternative<NoResponse>(*exchange.result));
   EXPECT_TRUE(std::get<NoResponse>(*exchange.result).requestSent);
   EXPECT_LT(exchange.duration, kEarly);
   EXPECT_FALSE(exchange.connection->IsReady());
-  EXPECT_EQ(m_budget.UsedBytes(), 0U);
+  EXPECT_EQ(m_budget->UsedBytes(), 0U);
 }
 
 INSTANTIATE_TEST_SUITE_P(
@@ -175,16 +175,16 @@
 // memory of the VM, and against failing short responses meanwhile.
 TEST(EndlessBytesTest, ResponsesShareOneBudget)
 {
-  ReceiveBudget budget(100);
-  ReceiveReservation first(&budget);
-  ReceiveReservation second(&budget);
+  const auto budget = std::make_shared<ReceiveBudget>(100);
+  ReceiveReservation first(budget);
+  ReceiveReservation second(budget);
   EXPECT_TRUE(first.Grow(ReceiveBudget::kFreeBytes + 60));
   EXPECT_TRUE(second.Grow(ReceiveBudget::kFreeBytes));
   EXPECT_FALSE(second.Grow(41));
   EXPECT_TRUE(second.Grow(40));
-  EXPECT_EQ(budget.UsedBytes(), 100U);
+  EXPECT_EQ(budget->UsedBytes(), 100U);
   first.Release();
-  EXPECT_EQ(budget.UsedBytes(), 40U);
+  EXPECT_EQ(budget->UsedBytes(), 40U);
   EXPECT_TRUE(second.Grow(60));
 }
 
--- a/wagtailbend/http1/receive_budget.h
+++ b/wagtailbend/http1/receive_budget.h
@@ -1,18 +1,20 @@
 // Limits the memory that the responses of several connections may use while
 // they are being received.
 //
-//   ReceiveBudget budget(10 << 20);
-//   ReceiveReservation reservation(&budget);
+//   auto budget = std::make_shared<ReceiveBudget>(10 << 20);
+//   ReceiveReservation reservation(budget);
 //   if (!reservation.Grow(received.bytes.size())) { /* close the connection */
 //   }
 
 #pragma once
 
 #include <cstddef>
+#include <memory>
+#include <utility>
 
 namespace wagtailbend::http1 {
 
-/// Not thread-safe. Must outlive its reservations.
+/// Shared by its reservations. Not thread-safe.
 class ReceiveBudget
 {
 public:
@@ -41,8 +43,8 @@
 {
 public:
   /// aBudget may be null, which means no limit.
-  explicit ReceiveReservation(ReceiveBudget* aBudget)
-    : m_budget(aBudget)
+  explicit ReceiveReservation(std::shared_ptr<ReceiveBudget> aBudget)
+    : m_budget(std::move(aBudget))
   {
   }
   ~ReceiveReservation() { Release(); }
@@ -85,7 +87,7 @@
              : 0;
   }
 
-  ReceiveBudget* m_budget;
+  const std::shared_ptr<ReceiveBudget> m_budget;
   size_t m_bytes = 0;
 };
 
