Log what targets say of themselves in their responses

No log line told whether a daemon knows of the limit that its target names (Server-Limit) or that the target is leaving (Server-Leaving). The gateway now reads both from responses that the target signed or rejected, and logs each change as target_condition with the number of requests sent by then. Nothing acts on it yet.

A limit ends only with a response to a request that was sent after the limit was last named, since responses arrive out of order; a response for an earlier run of the target is ignored.

--- a/wagtailbend/exchange/target_gateway.cc
+++ b/wagtailbend/exchange/target_gateway.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "wagtailbend/base/boot_time.h"
+#include "wagtailbend/exchange/target_notice.h"
 
 namespace wagtailbend::exchange {
 namespace {
@@ -75,6 +76,7 @@
   m_view = aView;
   m_queue.SetSlots(aView.slots);
   if (newRun) {
+    m_condition.Reset();
     m_unreachableUntil = {};
     for (const ConnectionPtr& connection : std::exchange(m_idle, {})) {
       connection->Close();
@@ -350,6 +352,7 @@
   PendingAttempt& pending = m_pending.at(aKey);
   pending.connection = aConnection;
   pending.startedAt = now;
+  pending.targetRun = m_view.run;
   if (!pending.started) {
     pending.started = true;
     pending.deadlineMs =
@@ -422,6 +425,9 @@
     http1::FindHeader(response.headers, m_names.responseSignature);
   const bool encoded =
     http1::FindHeader(response.headers, "Content-Encoding") != nullptr;
+  if (isSigned || (rejected && !misdirected)) {
+    RecordNotice(pending, response.headers);
+  }
   if (rejected) {
     ++m_counts.rejectedByTarget;
     RecordOutcome(!misdirected);
@@ -452,6 +458,17 @@
   Complete(aKey, std::move(result), succeeded);
 }
 
+void
+TargetGateway::RecordNotice(const PendingAttempt& aPending,
+                            const http1::Headers& aHeaders)
+{
+  if (aPending.targetRun == m_view.run &&
+      m_condition.OnResponse(
+        ReadTargetNotice(aHeaders, m_names), aPending.startedAt, BootNow())) {
+    m_observer.OnTargetCondition(m_view.run, m_condition.State());
+  }
+}
+
 bool
 TargetGateway::TryRetryLocally(uint64_t aKey)
 {
--- a/wagtailbend/exchange/target_gateway.h
+++ b/wagtailbend/exchange/target_gateway.h
@@ -27,6 +27,7 @@
 #include "wagtailbend/gate/target_queue.h"
 #include "wagtailbend/http1/client_connection.h"
 #include "wagtailbend/http1/protocol_names.h"
+#include "wagtailbend/targets/target_condition.h"
 #include "wagtailbend/targets/target_state.h"
 
 namespace wagtailbend::exchange {
@@ -69,6 +70,10 @@
   /// too many. The connection has been closed.
   virtual void OnInvalidResponse(const Attempt& aAttempt,
                                  const http1::NoResponse& aFailure) = 0;
+  /// A response of aRun changed what is known of its condition: it names
+  /// another limit or none, or it is leaving.
+  virtual void OnTargetCondition(const targets::TargetRun& aRun,
+                                 const targets::TargetNotice& aState) = 0;
   /// aSurvived: the target responded.
   virtual void EndRun(uint64_t aFingerprint, bool aSurvived) = 0;
   /// Returns by priority class the share of new requests of a route for which
@@ -154,6 +159,8 @@
     AttemptDone done;
     TimePoint submittedAt;
     TimePoint startedAt;
+    /// Run of the target to which the request was sent.
+    targets::TargetRun targetRun;
     ConnectionPtr connection;
     bool started = false;
     /// GatewayObserver::BeginRun was called and returned true.
@@ -177,6 +184,9 @@
                                TimePoint aNow) const;
   void OnResult(uint64_t aKey, http1::ClientResult aResult);
   void OnResponse(uint64_t aKey, http1::CompleteResponse aReceived);
+  /// Records what the target says about itself in a response.
+  void RecordNotice(const PendingAttempt& aPending,
+                    const http1::Headers& aHeaders);
   bool TryRetryLocally(uint64_t aKey);
   void OnNoResponse(uint64_t aKey, const http1::NoResponse& aFailure);
   void OnConnectFailed(uint64_t aKey);
@@ -203,6 +213,7 @@
   /// them until their last operation completes.
   std::shared_ptr<http1::ReceiveBudget> m_receiveBudget;
   targets::TargetView m_view;
+  targets::TargetCondition m_condition;
   std::optional<TimePoint> m_closeEnd;
   bool m_closed = false;
   uint32_t m_connectionLimit = 0;
--- a/wagtailbend/exchange/testing/fakes.h
+++ b/wagtailbend/exchange/testing/fakes.h
@@ -23,7 +23,9 @@
            .callerService = "Caller",
            .responseSignature = "Seal",
            .notRun = "Not-Run",
-           .targetId = "Target" };
+           .targetId = "Target",
+           .requestRateLimit = "Limit",
+           .targetLeaving = "Leaving" };
 }
 
 /// Allows all runs except those of one blocked fingerprint.
@@ -44,6 +46,11 @@
   {
     m_invalidResponses.push_back(aFailure.reason);
   }
+  void OnTargetCondition(const targets::TargetRun&,
+                         const targets::TargetNotice& aState) override
+  {
+    m_conditions.push_back(aState);
+  }
   void EndRun(uint64_t, bool) override {}
   std::array<double, gate::kPriorityClasses> DownstreamAdmissionLevels(
     const std::string&) override
@@ -53,6 +60,7 @@
 
   std::vector<uint64_t> m_crashedFingerprints;
   std::vector<http1::FailureReason> m_invalidResponses;
+  std::vector<targets::TargetNotice> m_conditions;
   std::optional<uint64_t> m_blockedFingerprint;
   /// Number of retries that are still allowed.
   int m_allowedRetries = 0;
--- a/wagtailbend/http1/protocol_names.h
+++ b/wagtailbend/http1/protocol_names.h
@@ -24,6 +24,11 @@
   std::string notRun;
   /// Response: id of the target that responded.
   std::string targetId;
+  /// Response: requests per second that the target accepts from all callers
+  /// together, as a decimal number.
+  std::string requestRateLimit;
+  /// Response: "1" if the target is leaving.
+  std::string targetLeaving;
 
   bool operator==(const ProtocolNames&) const = default;
 };
--- a/wagtailbend/node/traffic_node.cc
+++ b/wagtailbend/node/traffic_node.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include <fmt/format.h>
+
 #include "wagtailbend/base/boot_time.h"
 #include "wagtailbend/mesh/convert.h"
 #include "wagtailbend/net/socket_options.h"
@@ -813,6 +815,24 @@
   m_log.LogInvalidResponse(aAttempt, aFailure, BootNow());
 }
 
+void
+TrafficNode::OnTargetCondition(const targets::TargetRun& aRun,
+                               const targets::TargetNotice& aState)
+{
+  Event event("target_condition");
+  event.Add("target", aRun.id)
+    .Add("limit_per_s",
+         aState.requestsPerSecond ? fmt::format("{}", *aState.requestsPerSecond)
+                                  : "none")
+    .Add("leaving", aState.leaving ? "true" : "false")
+    .Add("sent", m_gateway.Counts().sent);
+  if (aState.isLimitUnreadable) {
+    event.Add("error", "limit is not a number >= 0").Warn();
+    return;
+  }
+  event.Info();
+}
+
 void
 TrafficNode::EndRun(uint64_t aFingerprint, bool aSurvived)
 {
--- a/wagtailbend/node/traffic_node.h
+++ b/wagtailbend/node/traffic_node.h
@@ -131,6 +131,8 @@
   bool TryTakeRetry(const exchange::Attempt& aAttempt) override;
   void OnInvalidResponse(const exchange::Attempt& aAttempt,
                          const http1::NoResponse& aFailure) override;
+  void OnTargetCondition(const targets::TargetRun& aRun,
+                         const targets::TargetNotice& aState) override;
   void EndRun(uint64_t aFingerprint, bool aSurvived) override;
   std::array<double, gate::kPriorityClasses> DownstreamAdmissionLevels(
     const std::string& aRoute) override;
