Keep the rate that a target names in its queue

All requests for a target pass the queue of its daemon, so a token bucket there (RateLimiter) limits all callers together. Queued requests keep their order, and one that the limit delays past its latest start is rejected on arrival as before. Requests that are sent to the target once more without queueing (after a rejection, or on a new connection) take a token too.

--- a/wagtailbend/emulator/emulator.cc
+++ b/wagtailbend/emulator/emulator.cc
@@ -156,7 +156,7 @@
     vm->retries.SetDaemons(m_vms.size());
     vm->targetRetries.SetDaemons(m_vms.size());
     for (size_t i = 0; i < m_vms.size(); ++i) {
-      vm->known[i].load = m_vms[i]->queue.CurrentLoad();
+      vm->known[i].load = m_vms[i]->queue.CurrentLoad(m_now);
     }
   }
 }
@@ -649,7 +649,7 @@
   Vm& entry = *m_vms[aRequest.entry];
   Vm& target = *m_vms[aRequest.target];
   Vm::Known& known = entry.known[aRequest.target];
-  known.load = target.queue.CurrentLoad();
+  known.load = target.queue.CurrentLoad(m_now);
   known.failureShare = target.failureShare;
   known.at = m_now;
   known.sentSince = 0;
--- a/wagtailbend/exchange/target_gateway.cc
+++ b/wagtailbend/exchange/target_gateway.cc
@@ -77,6 +77,7 @@
   m_queue.SetSlots(aView.slots);
   if (newRun) {
     m_condition.Reset();
+    m_queue.SetRateLimit(std::nullopt, BootNow());
     m_unreachableUntil = {};
     for (const ConnectionPtr& connection : std::exchange(m_idle, {})) {
       connection->Close();
@@ -462,28 +463,33 @@
 TargetGateway::RecordNotice(const PendingAttempt& aPending,
                             const http1::Headers& aHeaders)
 {
-  if (aPending.targetRun == m_view.run &&
-      m_condition.OnResponse(
-        ReadTargetNotice(aHeaders, m_names), aPending.startedAt, BootNow())) {
-    m_observer.OnTargetCondition(m_view.run, m_condition.State());
+  const TimePoint now = BootNow();
+  if (aPending.targetRun != m_view.run ||
+      !m_condition.OnResponse(
+        ReadTargetNotice(aHeaders, m_names), aPending.startedAt, now)) {
+    return;
   }
+  m_queue.SetRateLimit(m_condition.State().requestsPerSecond, now);
+  m_observer.OnTargetCondition(m_view.run, m_condition.State());
 }
 
 bool
 TargetGateway::TryRetryLocally(uint64_t aKey)
 {
+  const TimePoint now = BootNow();
   PendingAttempt& pending = m_pending.at(aKey);
   const uint32_t maxRetries = IsImportant(ClaimOf(pending.attempt))
                                 ? kMaxImportantLocalRetries
                                 : kMaxLocalRetries;
   if (pending.rejections >= maxRetries || !IsAccepting() ||
-      BootNow() + m_queue.MeanRunTime(pending.attempt.route) >=
+      now + m_queue.MeanRunTime(pending.attempt.route) >=
         pending.attempt.deadline ||
-      !m_observer.TryTakeRetry(pending.attempt)) {
+      !m_queue.MayResend(now) || !m_observer.TryTakeRetry(pending.attempt)) {
     return false;
   }
   ++pending.rejections;
   ++m_counts.retriedLocally;
+  m_queue.CountResend(now);
   if (ConnectionPtr idle = TakeIdleConnection(!pending.attempt.idempotent)) {
     pending.connectionReused = true;
     SendOn(aKey, idle);
@@ -510,6 +516,7 @@
     !invalid && (!aFailure.requestSent || pending.attempt.idempotent);
   if (staleConnection) {
     pending.connectionReused = false;
+    m_queue.CountResend(BootNow());
     Connect(aKey);
     return;
   }
@@ -695,7 +702,7 @@
 LoadReport
 TargetGateway::Report(const std::string& aRoute)
 {
-  const gate::QueueLoad load = m_queue.CurrentLoad();
+  const gate::QueueLoad load = m_queue.CurrentLoad(BootNow());
   LoadReport report;
   report.accepting = IsAccepting() && BootNow() >= m_unreachableUntil;
   report.stopping = m_closeEnd.has_value();
--- a/wagtailbend/gate/target_queue.cc
+++ b/wagtailbend/gate/target_queue.cc
@@ -42,8 +42,28 @@
            ++m_sequence };
 }
 
+void
+TargetQueue::SetRateLimit(std::optional<double> aRequestsPerSecond,
+                          TimePoint aNow)
+{
+  m_rateLimiter.SetLimit(aRequestsPerSecond, aNow);
+}
+
+bool
+TargetQueue::CanStart(TimePoint aNow) const
+{
+  return m_running.size() < m_slots && m_rateLimiter.HasToken(aNow);
+}
+
+Duration
+TargetQueue::ExpectedWait(size_t aRequestsAhead, TimePoint aNow) const
+{
+  return std::max(WaitForSlot(aRequestsAhead),
+                  m_rateLimiter.Wait(aRequestsAhead, aNow));
+}
+
 Duration
-TargetQueue::ExpectedWait(size_t aRequestsAhead) const
+TargetQueue::WaitForSlot(size_t aRequestsAhead) const
 {
   if (m_slots == 0) {
     return std::chrono::hours(1);
@@ -77,8 +97,9 @@
 }
 
 void
-TargetQueue::OccupySlot(const QueuedRequest& aRequest)
+TargetQueue::OccupySlot(const QueuedRequest& aRequest, TimePoint aNow)
 {
+  m_rateLimiter.Take(aNow);
   m_running.emplace(aRequest.id, RunningRequest{ aRequest.route });
 }
 
@@ -91,16 +112,16 @@
     m_levels.RecordArrival(priorityClass, false);
     return AdmissionDecision::kDeadlineTooShort;
   }
-  if (m_queue.empty() && m_running.size() < m_slots) {
+  if (m_queue.empty() && CanStart(aNow)) {
     m_levels.RecordArrival(priorityClass, false);
-    OccupySlot(aRequest);
+    OccupySlot(aRequest, aNow);
     return AdmissionDecision::kRun;
   }
   const Key key = MakeKey(aRequest);
   const auto position = static_cast<size_t>(
     std::distance(m_queue.begin(), m_queue.lower_bound(key)));
   const bool fits =
-    aNow + ExpectedWait(position) <= LatestStart(aRequest, aNow);
+    aNow + ExpectedWait(position, aNow) <= LatestStart(aRequest, aNow);
   m_levels.RecordArrival(priorityClass, !fits);
   if (!fits) {
     return AdmissionDecision::kOverloaded;
@@ -133,7 +154,7 @@
 TargetQueue::Advance(TimePoint aNow)
 {
   std::vector<QueueDecision> decisions;
-  while (!m_queue.empty() && m_running.size() < m_slots) {
+  while (!m_queue.empty() && CanStart(aNow)) {
     const auto first = m_queue.begin();
     const WaitingRequest waiting = first->second;
     m_queue.erase(first);
@@ -148,7 +169,7 @@
                             queueTime });
       continue;
     }
-    OccupySlot(waiting.request);
+    OccupySlot(waiting.request, aNow);
     decisions.push_back(
       { waiting.request.id, AdmissionDecision::kRun, queueTime });
   }
@@ -164,7 +185,7 @@
   size_t requestsAhead = 0;
   for (auto next = m_queue.begin(); next != m_queue.end();) {
     const WaitingRequest& waiting = next->second;
-    if (aNow + ExpectedWait(requestsAhead) <=
+    if (aNow + ExpectedWait(requestsAhead, aNow) <=
         LatestStart(waiting.request, waiting.queuedAt)) {
       ++requestsAhead;
       ++next;
@@ -204,13 +225,14 @@
 }
 
 QueueLoad
-TargetQueue::CurrentLoad() const
+TargetQueue::CurrentLoad(TimePoint aNow) const
 {
   QueueLoad load;
   load.slots = m_slots;
   load.running = static_cast<uint32_t>(m_running.size());
   load.queued = static_cast<uint32_t>(m_queue.size());
-  load.expectedWait = ExpectedWait(m_queue.size());
+  load.expectedWait = ExpectedWait(m_queue.size(), aNow);
+  load.requestsPerSecond = m_rateLimiter.Limit();
   load.meanHoldTime = Duration(static_cast<int64_t>(m_meanHoldNs));
   return load;
 }
--- a/wagtailbend/gate/target_queue.h
+++ b/wagtailbend/gate/target_queue.h
@@ -14,18 +14,24 @@
 // calls of the same customer requests are preferred by every service), then
 // nested calls before new requests, then age. A request that cannot start in
 // time is rejected immediately, while its caller can still try another target.
+//
+// A target in need names a limit on the rate of requests. It then gets no more
+// than that, whatever slots are free; the order and the rejections are the
+// same.
 
 #pragma once
 
 #include <compare>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
 #include "wagtailbend/base/time.h"
 #include "wagtailbend/gate/admission_level.h"
+#include "wagtailbend/gate/rate_limiter.h"
 
 namespace wagtailbend::gate {
 
@@ -79,6 +85,8 @@
   Duration expectedWait{};
   /// Mean time for which a request occupies a slot.
   Duration meanHoldTime{};
+  /// Requests per second that the target accepts; empty: any rate.
+  std::optional<double> requestsPerSecond;
 
   bool operator==(const QueueLoad&) const = default;
 };
@@ -90,6 +98,16 @@
   /// aSlots: number of requests that the target declares to run concurrently.
   void SetSlots(uint32_t aSlots);
 
+  /// Sets the requests per second that the target accepts; empty: any rate.
+  void SetRateLimit(std::optional<double> aRequestsPerSecond, TimePoint aNow);
+
+  /// Returns true if the rate limit allows sending a running request to the
+  /// target once more.
+  bool MayResend(TimePoint aNow) const { return m_rateLimiter.HasToken(aNow); }
+  /// Counts such a request. If the limit does not allow it, later requests wait
+  /// for longer.
+  void CountResend(TimePoint aNow) { m_rateLimiter.Take(aNow); }
+
   /// Decides about a new request. If it is queued, a later call of Advance
   /// returns the final decision.
   AdmissionDecision Submit(const QueuedRequest& aRequest, TimePoint aNow);
@@ -109,7 +127,7 @@
   [[nodiscard]] std::vector<uint64_t> Clear();
 
   bool IsRunning(uint64_t aId) const { return m_running.contains(aId); }
-  QueueLoad CurrentLoad() const;
+  QueueLoad CurrentLoad(TimePoint aNow) const;
   /// Mean time that requests of a route take at the target; zero if unknown.
   Duration MeanRunTime(const std::string& aRoute) const;
   const AdmissionLevels& Levels() const { return m_levels; }
@@ -138,12 +156,16 @@
   };
 
   Key MakeKey(const QueuedRequest& aRequest);
-  Duration ExpectedWait(size_t aRequestsAhead) const;
+  /// Returns true if the target may be sent a request at aNow.
+  bool CanStart(TimePoint aNow) const;
+  Duration WaitForSlot(size_t aRequestsAhead) const;
+  Duration ExpectedWait(size_t aRequestsAhead, TimePoint aNow) const;
   TimePoint LatestStart(const QueuedRequest& aRequest, TimePoint aNow) const;
-  void OccupySlot(const QueuedRequest& aRequest);
+  void OccupySlot(const QueuedRequest& aRequest, TimePoint aNow);
   void DropLateRequests(std::vector<QueueDecision>& aDecisions, TimePoint aNow);
 
   uint32_t m_slots = 0;
+  RateLimiter m_rateLimiter;
   std::map<Key, WaitingRequest> m_queue;
   std::unordered_map<uint64_t, Key> m_keys;
   std::unordered_map<uint64_t, RunningRequest> m_running;
--- a/wagtailbend/gate/target_queue_test.cc
+++ b/wagtailbend/gate/target_queue_test.cc
@@ -68,7 +68,7 @@
 {
   FillSlots();
   EXPECT_EQ(Submit(10), AdmissionDecision::kQueued);
-  EXPECT_EQ(m_queue.CurrentLoad().running, 9U);
+  EXPECT_EQ(m_queue.CurrentLoad(m_now).running, 9U);
   EXPECT_EQ(FinishAndGetNext(1), 10U);
 }
 
@@ -236,5 +236,64 @@
   EXPECT_EQ(levels.Level(1), kMinAdmissionLevel);
 }
 
+// Guards against a target in need that gets as many requests as it has slots.
+TEST_F(TargetQueueTest, LimitedTargetGetsNoMoreThanItsRate)
+{
+  m_queue.SetRateLimit(10, m_now);
+  uint64_t id = 0;
+  int started = 0;
+  for (int step = 0; step < 200; ++step) {
+    m_now += milliseconds(20);
+    started += Submit(++id) == AdmissionDecision::kRun ? 1 : 0;
+    for (const QueueDecision& next : m_queue.Advance(m_now)) {
+      if (next.decision == AdmissionDecision::kRun) {
+        ++started;
+        m_queue.Finish(next.id, kHoldTime, true);
+      }
+    }
+  }
+  EXPECT_NEAR(started, 40, 2);
+}
+
+// Guards against requests that wait at a limited target until they are late
+// instead of being rejected on arrival.
+TEST_F(TargetQueueTest, RejectsOnArrivalWhatALimitDelaysTooLong)
+{
+  m_queue.SetRateLimit(10, m_now);
+  uint64_t id = 1;
+  ASSERT_EQ(Submit(id), AdmissionDecision::kRun);
+  while (Submit(++id) == AdmissionDecision::kQueued) {
+  }
+  // 900 ms until the latest start, 100 ms for each request.
+  EXPECT_NEAR(static_cast<double>(id), 11, 1);
+  EXPECT_NEAR(
+    ToFractionalMilliseconds(m_queue.CurrentLoad(m_now).expectedWait), 950, 60);
+  EXPECT_EQ(m_queue.CurrentLoad(m_now).requestsPerSecond, 10);
+}
+
+// Guards against a limit that outlives its end.
+TEST_F(TargetQueueTest, TargetIsUsedFullyOnceItNamesNoLimit)
+{
+  m_queue.SetRateLimit(1, m_now);
+  ASSERT_EQ(Submit(1), AdmissionDecision::kRun);
+  ASSERT_EQ(Submit(2), AdmissionDecision::kOverloaded);
+  m_queue.SetRateLimit(std::nullopt, m_now);
+  for (uint64_t id = 3; id <= 10; ++id) {
+    EXPECT_EQ(Submit(id), AdmissionDecision::kRun);
+  }
+}
+
+// Guards against resends, which take no slot, that exceed the limit.
+TEST_F(TargetQueueTest, ResendCountsAgainstTheLimit)
+{
+  m_queue.SetRateLimit(10, m_now);
+  ASSERT_EQ(Submit(1), AdmissionDecision::kRun);
+  EXPECT_FALSE(m_queue.MayResend(m_now));
+  m_queue.CountResend(m_now);
+  ASSERT_EQ(Submit(2), AdmissionDecision::kQueued);
+  EXPECT_TRUE(m_queue.Advance(m_now + milliseconds(190)).empty());
+  EXPECT_EQ(m_queue.Advance(m_now + milliseconds(210)).size(), 1U);
+}
+
 } // namespace
 } // namespace wagtailbend::gate
