Do not take a limited target for its whole service

Cause: callers average the admission levels that the targets of a service report. A target that names a limit rejects requests on arrival, so its level falls; that says nothing about the others. And a caller that knows a limited target as free sent it several requests before the first result, as all other callers did.

A limited target's levels now count for its service only if no usable target names no limit (ServiceLevels, taken out of TrafficNode and the emulator, which had a copy). Placement expects of a limited target only this daemon's share of the limit between two reports. Load reports carry the limit.

--- a/wagtailbend/emulator/emulator.cc
+++ b/wagtailbend/emulator/emulator.cc
@@ -17,8 +17,6 @@
 // Rejections by daemons before a request is rejected; as at the entry.
 constexpr uint32_t kMaxRejections = 3;
 // Share by which one report moves what a daemon knows; as in the daemon.
-constexpr double kLevelShare = 0.2;
-constexpr double kLevelRecoveryPerSecond = 0.2;
 // Weight of one outcome in the share of failures; as in the daemon.
 constexpr double kFailureSampleShare = 0.03;
 // Spread of the work of one route.
@@ -48,11 +46,6 @@
 /// A VM: the daemon's view of the others, and the target.
 struct Emulator::Vm
 {
-  struct Level
-  {
-    std::array<double, gate::kPriorityClasses> share{ 1, 1, 1, 1 };
-    TimePoint at = kBegin;
-  };
   struct Known
   {
     gate::QueueLoad load;
@@ -77,7 +70,8 @@
   std::deque<RequestPtr> line;
   uint32_t busy = 0;
   std::unordered_map<uint64_t, RequestPtr> requests;
-  std::map<size_t, Level> levels;
+  /// By route.
+  std::map<size_t, exchange::ServiceLevels> levels;
   std::vector<Known> known;
   exchange::RetryBudget retries;
   exchange::RetryBudget targetRetries;
@@ -197,6 +191,32 @@
   }
 }
 
+void
+Emulator::ScheduleLimits()
+{
+  for (const RateLimit& limit : m_world.limits) {
+    At(kBegin + limit.begin,
+       [this, &limit] { SetLimit(limit, limit.perSecond); });
+    At(kBegin + limit.end, [this, &limit] { SetLimit(limit, std::nullopt); });
+  }
+}
+
+void
+Emulator::SetLimit(const RateLimit& aLimit, std::optional<double> aPerSecond)
+{
+  std::vector<Vm*> targets;
+  for (const auto& vm : m_vms) {
+    if (vm->service == aLimit.service) {
+      targets.push_back(vm.get());
+    }
+  }
+  targets.resize(static_cast<size_t>(
+    std::lround(aLimit.share * static_cast<double>(targets.size()))));
+  for (Vm* vm : targets) {
+    vm->queue.SetRateLimit(aPerSecond, m_now);
+  }
+}
+
 Emulator::RequestPtr
 Emulator::MakeRequest(size_t aRoute, size_t aVm, TimePoint aFirst)
 {
@@ -285,14 +305,7 @@
 double
 Emulator::LevelOf(Vm& aVm, size_t aRoute, size_t aClass)
 {
-  const auto found = aVm.levels.find(aRoute);
-  if (found == aVm.levels.end()) {
-    return 1;
-  }
-  return std::min(1.0,
-                  found->second.share[aClass] +
-                    kLevelRecoveryPerSecond *
-                      Seconds(m_now - found->second.at));
+  return aVm.levels[aRoute].At(m_now)[aClass];
 }
 
 bool
@@ -349,6 +362,8 @@
     candidate.meanRunTime = run == known.runs.end() ? Duration{} : run->second;
     candidate.reportAge = m_now - known.at;
     candidate.sentSinceReport = known.sentSince;
+    candidate.rateShare = known.load.requestsPerSecond.value_or(0) /
+                          static_cast<double>(m_vms.size());
     candidate.failureShare = known.failureShare;
     candidates.push_back(candidate);
     aVms.push_back(vm->index);
@@ -658,19 +673,27 @@
   if (run > Duration{}) {
     known.runs[aRequest.route] = run;
   }
-  std::array<double, gate::kPriorityClasses> share;
+  exchange::Levels share;
   for (size_t i = 0; i < gate::kPriorityClasses; ++i) {
     share[i] = target.queue.Levels().Level(i);
     for (const Call& call : m_world.routes[aRequest.route].calls) {
       share[i] = std::min(share[i], LevelOf(target, call.route, i));
     }
   }
-  Vm::Level& level = entry.levels[aRequest.route];
-  for (size_t i = 0; i < gate::kPriorityClasses; ++i) {
-    const double present = LevelOf(entry, aRequest.route, i);
-    level.share[i] = present + kLevelShare * (share[i] - present);
+  if (exchange::IsRepresentative(known.load.requestsPerSecond.has_value(),
+                                 KnowsUnlimitedTarget(entry, target.service))) {
+    entry.levels[aRequest.route].Record(share, m_now);
   }
-  level.at = m_now;
+}
+
+bool
+Emulator::KnowsUnlimitedTarget(const Vm& aVm, size_t aService) const
+{
+  return std::any_of(
+    m_vms.begin(), m_vms.end(), [&aVm, aService](const auto& aOther) {
+      return aOther->service == aService &&
+             !aVm.known[aOther->index].load.requestsPerSecond;
+    });
 }
 
 void
@@ -690,6 +713,7 @@
 {
   BuildVms();
   ScheduleArrivals();
+  ScheduleLimits();
   const TimePoint end = kBegin + m_world.length + std::chrono::seconds(12);
   for (TimePoint at = kBegin; at < end; at += kTick) {
     At(at, [this] {
--- a/wagtailbend/emulator/emulator.h
+++ b/wagtailbend/emulator/emulator.h
@@ -14,6 +14,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <queue>
 #include <vector>
 
@@ -21,6 +22,7 @@
 #include "wagtailbend/base/time.h"
 #include "wagtailbend/emulator/world.h"
 #include "wagtailbend/exchange/retry_budget.h"
+#include "wagtailbend/exchange/service_levels.h"
 #include "wagtailbend/gate/target_queue.h"
 #include "wagtailbend/placement/placement.h"
 
@@ -117,6 +119,8 @@
   void At(TimePoint aTime, Action aAction);
   void BuildVms();
   void ScheduleArrivals();
+  void ScheduleLimits();
+  void SetLimit(const RateLimit& aLimit, std::optional<double> aPerSecond);
   double RateFactor(TimePoint aTime) const;
   void Customer(size_t aRoute, size_t aVm, TimePoint aFirst, uint32_t aReturns);
   void CustomerEnds(const RequestPtr& aRequest, Ending aEnding);
@@ -140,6 +144,7 @@
   void Advance(Vm& aVm);
   void Reply(const RequestPtr& aRequest, Ending aEnding);
   void Report(const Request& aRequest);
+  bool KnowsUnlimitedTarget(const Vm& aVm, size_t aService) const;
   Duration Delay(size_t aFrom, size_t aTo) const;
   double LevelOf(Vm& aVm, size_t aRoute, size_t aClass);
 
--- a/wagtailbend/emulator/emulator_test.cc
+++ b/wagtailbend/emulator/emulator_test.cc
@@ -123,5 +123,17 @@
             plain.routes[kOrder].ServedShare() + 0.1);
 }
 
+// Load: three of four targets of a service name a limit; the fourth has room
+// for what is left. Guards against rejecting at the entry what the fourth could
+// run.
+TEST(EmulatorTest, LimitedTargetsLeaveTheirServiceOpen)
+{
+  const Outcome outcome =
+    Mean(ReadExperiment("limited_targets.json"), kProduct);
+  EXPECT_GT(outcome.value, 0.98);
+  EXPECT_GT(outcome.routes[kCheck].ServedShare(), 0.99);
+  EXPECT_GT(outcome.routes[kOrder].ServedShare(), 0.99);
+}
+
 } // namespace
 } // namespace wagtailbend::emulator
--- a/wagtailbend/emulator/world.cc
+++ b/wagtailbend/emulator/world.cc
@@ -96,6 +96,14 @@
           Ms(shedding, "end_ms", {}),
           shedding.at("share").get<double>() });
     }
+    for (const Json& limit : json.value("limits", Json::array())) {
+      world.limits.push_back(
+        { IndexOf(json.at("services"), limit.at("service").get<std::string>()),
+          Ms(limit, "begin_ms", {}),
+          Ms(limit, "end_ms", {}),
+          limit.at("per_second").get<double>(),
+          limit.value("share", 1.0) });
+    }
     world.betweenDomains = Ms(json, "between_domains_ms", world.betweenDomains);
     world.betweenRegions = Ms(json, "between_regions_ms", world.betweenRegions);
     world.swing = json.value("swing", world.swing);
--- a/wagtailbend/emulator/world.h
+++ b/wagtailbend/emulator/world.h
@@ -88,6 +88,19 @@
   bool operator==(const Shedding&) const = default;
 };
 
+/// From begin to end the first targets of a service, this share of them, accept
+/// only so many requests per second each.
+struct RateLimit
+{
+  size_t service = 0;
+  Duration begin{};
+  Duration end{};
+  double perSecond = 0;
+  double share = 1;
+
+  bool operator==(const RateLimit&) const = default;
+};
+
 struct World
 {
   std::vector<Domain> domains;
@@ -95,6 +108,7 @@
   std::vector<RouteLoad> routes;
   std::vector<Surge> surges;
   std::vector<Shedding> sheddings;
+  std::vector<RateLimit> limits;
   /// One-way delays.
   Duration betweenDomains = std::chrono::milliseconds(1);
   Duration betweenRegions = std::chrono::milliseconds(30);
--- a/wagtailbend/exchange/attempt.h
+++ b/wagtailbend/exchange/attempt.h
@@ -4,16 +4,16 @@
 
 #pragma once
 
-#include <array>
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "wagtailbend/base/error.h"
 #include "wagtailbend/base/time.h"
 #include "wagtailbend/exchange/retry_budget.h"
-#include "wagtailbend/gate/admission_level.h"
+#include "wagtailbend/exchange/service_levels.h"
 #include "wagtailbend/http1/message.h"
 
 namespace wagtailbend::exchange {
@@ -63,7 +63,10 @@
   Duration meanRunTime{};
   /// By priority class: share of new customer requests for which the service
   /// and all services that it calls have capacity.
-  std::array<double, gate::kPriorityClasses> admissionLevels{ 1, 1, 1, 1 };
+  Levels admissionLevels{ 1, 1, 1, 1 };
+  /// Requests per second that the target accepts from all daemons together;
+  /// empty: it names no limit.
+  std::optional<double> requestsPerSecond;
   uint64_t configVersion = 0;
   /// The daemon receives no updates from the store.
   bool storeLost = false;
--- a/wagtailbend/exchange/request_dispatcher.cc
+++ b/wagtailbend/exchange/request_dispatcher.cc
@@ -623,10 +623,10 @@
   m_observer.OnRequestCompleted(summary);
 }
 
-std::array<double, gate::kPriorityClasses>
+Levels
 RequestDispatcher::DownstreamAdmissionLevels(const std::string& aRoute)
 {
-  std::array<double, gate::kPriorityClasses> admit;
+  Levels admit;
   admit.fill(1.0);
   const auto found = m_nestedCalls.find(aRoute);
   if (found == m_nestedCalls.end()) {
--- a/wagtailbend/exchange/request_dispatcher.h
+++ b/wagtailbend/exchange/request_dispatcher.h
@@ -111,8 +111,7 @@
 
   /// Returns by priority class the lowest admission level of the services that
   /// requests of aRoute have called from this daemon.
-  std::array<double, gate::kPriorityClasses> DownstreamAdmissionLevels(
-    const std::string& aRoute);
+  Levels DownstreamAdmissionLevels(const std::string& aRoute);
 
   size_t OpenRequests() const { return m_openRequests.size(); }
 
--- a/wagtailbend/exchange/target_directory.h
+++ b/wagtailbend/exchange/target_directory.h
@@ -40,9 +40,8 @@
                         const AttemptResult& aResult) = 0;
   /// Returns by priority class the share of new customer requests for which a
   /// service has capacity.
-  virtual std::array<double, gate::kPriorityClasses> AdmissionLevels(
-    const std::string& aService,
-    const std::string& aRoute) = 0;
+  virtual Levels AdmissionLevels(const std::string& aService,
+                                 const std::string& aRoute) = 0;
 };
 
 } // namespace wagtailbend::exchange
--- a/wagtailbend/exchange/target_gateway.cc
+++ b/wagtailbend/exchange/target_gateway.cc
@@ -710,6 +710,7 @@
   report.running = load.running;
   report.queued = load.queued;
   report.expectedWait = load.expectedWait;
+  report.requestsPerSecond = load.requestsPerSecond;
   report.meanRunTime = m_queue.MeanRunTime(aRoute);
   report.admissionLevels = m_observer.DownstreamAdmissionLevels(aRoute);
   for (size_t i = 0; i < gate::kPriorityClasses; ++i) {
--- a/wagtailbend/exchange/target_gateway.h
+++ b/wagtailbend/exchange/target_gateway.h
@@ -78,8 +78,7 @@
   virtual void EndRun(uint64_t aFingerprint, bool aSurvived) = 0;
   /// Returns by priority class the share of new requests of a route for which
   /// the services that it calls have capacity.
-  virtual std::array<double, gate::kPriorityClasses> DownstreamAdmissionLevels(
-    const std::string& aRoute) = 0;
+  virtual Levels DownstreamAdmissionLevels(const std::string& aRoute) = 0;
 };
 
 struct GatewayCounts
@@ -146,6 +145,11 @@
   LoadReport Report(const std::string& aRoute);
   /// Returns true if neither the target nor the daemon is draining.
   bool IsAccepting() const;
+  /// Returns the rate limit that the target names, if any.
+  std::optional<double> RequestsPerSecond() const
+  {
+    return m_condition.State().requestsPerSecond;
+  }
   const GatewayCounts& Counts() const { return m_counts; }
   size_t RunningCount() const { return m_running.size(); }
   size_t ConnectionCount() const { return m_openConnections; }
--- a/wagtailbend/node/traffic_node.cc
+++ b/wagtailbend/node/traffic_node.cc
@@ -35,9 +35,6 @@
 // A report that the target does not accept requests is ignored once it is older
 // than this; the next attempt shows the current state.
 constexpr Duration kMaxNotAcceptingReportAge = std::chrono::milliseconds(500);
-constexpr double kAdmissionSampleWeight = 0.2;
-// Increase of an admission level per second without new reports.
-constexpr double kAdmissionRecoveryPerSecond = 0.2;
 // A member that is unreachable for this long is removed as one that exited
 // without an announcement. A partition of an hour must not delete the rows of
 // the members on the other side, which write their rows again when they are
@@ -653,6 +650,8 @@
     run == aPeer.meanRunTimes.end() ? Duration{} : run->second;
   candidate.reportAge = aNow - aPeer.reportedAt;
   candidate.sentSinceReport = aPeer.sentSinceReport;
+  candidate.rateShare = aPeer.report.requestsPerSecond.value_or(0) /
+                        static_cast<double>(m_peers.size() + 1);
   candidate.failureShare = aPeer.report.failureShare;
   candidate.stopping = aPeer.report.stopping;
   return candidate;
@@ -729,31 +728,38 @@
   if (report.slots == 0) {
     return;
   }
-  AdmissionState& admission =
-    m_admissionStates[AdmissionKey(aAttempt.service, aAttempt.route)];
-  admission.levels = AdmissionLevels(aAttempt.service, aAttempt.route);
-  for (size_t i = 0; i < gate::kPriorityClasses; ++i) {
-    admission.levels[i] += kAdmissionSampleWeight *
-                           (report.admissionLevels[i] - admission.levels[i]);
+  if (exchange::IsRepresentative(report.requestsPerSecond.has_value(),
+                                 HasUnlimitedTarget(aAttempt.service))) {
+    m_serviceLevels[AdmissionKey(aAttempt.service, aAttempt.route)].Record(
+      report.admissionLevels, BootNow());
   }
-  admission.updatedAt = BootNow();
 }
 
-std::array<double, gate::kPriorityClasses>
+bool
+TrafficNode::HasUnlimitedTarget(const std::string& aService)
+{
+  if (aService == m_settings.service && m_gateway.IsAccepting() &&
+      !m_gateway.RequestsPerSecond()) {
+    return true;
+  }
+  const TimePoint now = BootNow();
+  const auto found = m_peersByService.find(aService);
+  return found != m_peersByService.end() &&
+         std::any_of(found->second.begin(),
+                     found->second.end(),
+                     [this, now](const Peer* aPeer) {
+                       return IsUsable(*aPeer, now) &&
+                              !aPeer->report.requestsPerSecond;
+                     });
+}
+
+exchange::Levels
 TrafficNode::AdmissionLevels(const std::string& aService,
                              const std::string& aRoute)
 {
-  const auto found = m_admissionStates.find(AdmissionKey(aService, aRoute));
-  if (found == m_admissionStates.end()) {
-    return { 1, 1, 1, 1 };
-  }
-  const double seconds =
-    std::chrono::duration<double>(BootNow() - found->second.updatedAt).count();
-  std::array<double, gate::kPriorityClasses> levels = found->second.levels;
-  for (double& level : levels) {
-    level = std::min(1.0, level + kAdmissionRecoveryPerSecond * seconds);
-  }
-  return levels;
+  const auto found = m_serviceLevels.find(AdmissionKey(aService, aRoute));
+  return found == m_serviceLevels.end() ? exchange::Levels{ 1, 1, 1, 1 }
+                                        : found->second.At(BootNow());
 }
 
 void
@@ -839,7 +845,7 @@
   m_quarantine.EndTrial(aFingerprint, aSurvived, BootNow());
 }
 
-std::array<double, gate::kPriorityClasses>
+exchange::Levels
 TrafficNode::DownstreamAdmissionLevels(const std::string& aRoute)
 {
   return m_dispatcher.DownstreamAdmissionLevels(aRoute);
--- a/wagtailbend/node/traffic_node.h
+++ b/wagtailbend/node/traffic_node.h
@@ -121,9 +121,8 @@
   void OnResult(const std::string& aAddress,
                 const exchange::Attempt& aAttempt,
                 const exchange::AttemptResult& aResult) override;
-  std::array<double, gate::kPriorityClasses> AdmissionLevels(
-    const std::string& aService,
-    const std::string& aRoute) override;
+  exchange::Levels AdmissionLevels(const std::string& aService,
+                                   const std::string& aRoute) override;
 
   // exchange::GatewayObserver
   void OnTargetCrashed(const std::vector<uint64_t>& aFingerprints) override;
@@ -134,7 +133,7 @@
   void OnTargetCondition(const targets::TargetRun& aRun,
                          const targets::TargetNotice& aState) override;
   void EndRun(uint64_t aFingerprint, bool aSurvived) override;
-  std::array<double, gate::kPriorityClasses> DownstreamAdmissionLevels(
+  exchange::Levels DownstreamAdmissionLevels(
     const std::string& aRoute) override;
 
   // exchange::DispatcherObserver
@@ -175,11 +174,6 @@
     /// Mean run time at the target by route.
     std::unordered_map<std::string, Duration> meanRunTimes;
   };
-  struct AdmissionState
-  {
-    std::array<double, gate::kPriorityClasses> levels{ 1, 1, 1, 1 };
-    TimePoint updatedAt{};
-  };
 
   void Tick();
   void PublishLocalMember();
@@ -189,6 +183,8 @@
   void UpdateStoreWatch();
   Peer* FindPeer(const std::string& aAddress);
   bool IsUsable(const Peer& aPeer, TimePoint aNow) const;
+  /// Returns true if a usable target of the service names no rate limit.
+  bool HasUnlimitedTarget(const std::string& aService);
   placement::Candidate MakeCandidate(const Peer& aPeer,
                                      const std::string& aRoute,
                                      TimePoint aNow) const;
@@ -223,7 +219,7 @@
   std::unordered_map<std::string, std::unique_ptr<Peer>> m_peers;
   std::unordered_map<std::string, std::vector<Peer*>> m_peersByService;
   /// By service and route.
-  std::unordered_map<std::string, AdmissionState> m_admissionStates;
+  std::unordered_map<std::string, exchange::ServiceLevels> m_serviceLevels;
   Rng m_rng;
   /// For retries at the local target.
   exchange::RetryBudget m_targetRetryBudget;
--- a/wagtailbend/placement/placement.cc
+++ b/wagtailbend/placement/placement.cc
@@ -66,6 +66,11 @@
   if (running > slots) {
     wait += run * std::min(running - slots, aCandidate.sentSinceReport) / slots;
   }
+  if (aCandidate.rateShare > 0) {
+    // The other daemons know the same report and send requests too.
+    wait += std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
+      aCandidate.sentSinceReport / aCandidate.rateShare));
+  }
   return aCandidate.roundTrip + wait + run;
 }
 
--- a/wagtailbend/placement/placement.h
+++ b/wagtailbend/placement/placement.h
@@ -46,6 +46,9 @@
   Duration reportAge{};
   /// Attempts sent there by this daemon since the report.
   uint32_t sentSinceReport = 0;
+  /// Requests per second that this daemon may expect of a target that names a
+  /// limit for all callers together; 0: it names none.
+  double rateShare = 0;
   /// Share of recent requests that the target failed or rejected.
   double failureShare = 0;
   /// The target has started recently and is still slow.
