Let few requests run until a target's first response

A daemon that restarts does not know the limit that its earlier process was told, while the other daemons go on sending through it.

Until the first response of a run of the target, two requests run at a time, since each response names the limit. This needs no memory beyond the process and holds when store and peers are away. Passing the limit on through the peers was considered: it would save the two requests, but a daemon without links would still have to be careful.

--- a/wagtailbend/exchange/target_gateway.cc
+++ b/wagtailbend/exchange/target_gateway.cc
@@ -77,7 +77,7 @@
   m_queue.SetSlots(aView.slots);
   if (newRun) {
     m_condition.Reset();
-    m_queue.SetRateLimit(std::nullopt, BootNow());
+    m_queue.ForgetRateLimit(BootNow());
     m_unreachableUntil = {};
     for (const ConnectionPtr& connection : std::exchange(m_idle, {})) {
       connection->Close();
--- a/wagtailbend/gate/target_queue.cc
+++ b/wagtailbend/gate/target_queue.cc
@@ -19,6 +19,10 @@
 // objective, because under overload each late response displaces one in time.
 // Class 0 may wait until its deadline.
 constexpr size_t kFirstClassWithObjective = 1;
+// Requests that run at the same time while it is unknown whether the target
+// names a rate limit. A daemon that restarts does not know what its earlier
+// process was told, and lets in so many requests more before it is told again.
+constexpr uint32_t kSlotsBeforeFirstResponse = 2;
 // Multiple of the mean run time that must remain before the deadline.
 constexpr double kRunTimeReserve = 1.2;
 
@@ -46,13 +50,23 @@
 TargetQueue::SetRateLimit(std::optional<double> aRequestsPerSecond,
                           TimePoint aNow)
 {
+  m_isRateLimitKnown = true;
   m_rateLimiter.SetLimit(aRequestsPerSecond, aNow);
 }
 
+void
+TargetQueue::ForgetRateLimit(TimePoint aNow)
+{
+  m_isRateLimitKnown = false;
+  m_rateLimiter.SetLimit(std::nullopt, aNow);
+}
+
 bool
 TargetQueue::CanStart(TimePoint aNow) const
 {
-  return m_running.size() < m_slots && m_rateLimiter.HasToken(aNow);
+  const uint32_t slots =
+    m_isRateLimitKnown ? m_slots : std::min(m_slots, kSlotsBeforeFirstResponse);
+  return m_running.size() < slots && m_rateLimiter.HasToken(aNow);
 }
 
 Duration
--- a/wagtailbend/gate/target_queue.h
+++ b/wagtailbend/gate/target_queue.h
@@ -101,6 +101,11 @@
   /// Sets the requests per second that the target accepts; empty: any rate.
   void SetRateLimit(std::optional<double> aRequestsPerSecond, TimePoint aNow);
 
+  /// Forgets the rate limit, since the target is one that has not responded
+  /// yet. Until SetRateLimit is called, only a few requests run at the same
+  /// time.
+  void ForgetRateLimit(TimePoint aNow);
+
   /// Returns true if the rate limit allows sending a running request to the
   /// target once more.
   bool MayResend(TimePoint aNow) const { return m_rateLimiter.HasToken(aNow); }
@@ -166,6 +171,7 @@
 
   uint32_t m_slots = 0;
   RateLimiter m_rateLimiter;
+  bool m_isRateLimitKnown = true;
   std::map<Key, WaitingRequest> m_queue;
   std::unordered_map<uint64_t, Key> m_keys;
   std::unordered_map<uint64_t, RunningRequest> m_running;
--- a/wagtailbend/gate/target_queue_test.cc
+++ b/wagtailbend/gate/target_queue_test.cc
@@ -295,5 +295,19 @@
   EXPECT_EQ(m_queue.Advance(m_now + milliseconds(210)).size(), 1U);
 }
 
+// Guards against a daemon that fills all slots of a target, after a restart,
+// before the first response tells it the limit.
+TEST_F(TargetQueueTest, FewRequestsRunUntilTheRateLimitIsKnown)
+{
+  m_queue.ForgetRateLimit(m_now);
+  EXPECT_EQ(Submit(1), AdmissionDecision::kRun);
+  EXPECT_EQ(Submit(2), AdmissionDecision::kRun);
+  EXPECT_EQ(Submit(3), AdmissionDecision::kQueued);
+  EXPECT_TRUE(m_queue.Advance(m_now).empty());
+  m_queue.SetRateLimit(std::nullopt, m_now);
+  EXPECT_EQ(m_queue.Advance(m_now).size(), 1U);
+  EXPECT_EQ(Submit(4), AdmissionDecision::kRun);
+}
+
 } // namespace
 } // namespace wagtailbend::gate
