Send nothing to targets that say in responses that they leave

Cause: only announcements of a target ended its use. Now a response that says so does, like an announcement: the gateway rejects queued and new requests for this run, and peers and the store are told before the response is passed on, so that whoever passes it on also knows what to tell the next process of the daemon.

While doing this, three ways to forget a leave were found by reading and closed: the control thread overwrote it with an older state for some milliseconds; a peer told it to the next process once only, so that it was lost if that process died at once; a process that had read an older leave from its row ignored the newer one of a peer. They have no test of their own: each needs a kill within milliseconds.

users_target_leaving_test failed before and passes now, with the store there and away, also when the daemon of the target restarts; TargetGatewayTest has the cases without processes.

--- a/wagtailbend/exchange/target_gateway.cc
+++ b/wagtailbend/exchange/target_gateway.cc
@@ -90,6 +90,18 @@
   Advance(BootNow());
 }
 
+void
+TargetGateway::RecordLeaving(const targets::TargetRun& aRun)
+{
+  if (aRun.startTimeMs < m_leavingRun.startTimeMs) {
+    return;
+  }
+  m_leavingRun = aRun;
+  if (targets::IsCovered(m_view.run, m_leavingRun)) {
+    RejectQueued(ErrorKind::kDraining, "target is draining");
+  }
+}
+
 void
 TargetGateway::BeginClose(TimePoint aEnd)
 {
@@ -106,7 +118,8 @@
 bool
 TargetGateway::IsAccepting() const
 {
-  return m_view.accepting && !m_closed;
+  return m_view.accepting && !m_closed &&
+         !targets::IsCovered(m_view.run, m_leavingRun);
 }
 
 uint64_t
@@ -470,6 +483,9 @@
     return;
   }
   m_queue.SetRateLimit(m_condition.State().requestsPerSecond, now);
+  if (m_condition.State().leaving) {
+    RecordLeaving(m_view.run);
+  }
   m_observer.OnTargetCondition(m_view.run, m_condition.State());
 }
 
--- a/wagtailbend/exchange/target_gateway.h
+++ b/wagtailbend/exchange/target_gateway.h
@@ -113,6 +113,10 @@
   /// Updates the state reported by the target. Queued requests are returned as
   /// not run if the target no longer accepts requests.
   void SetTarget(const targets::TargetView& aView);
+  /// Records that a run of the target left or is leaving; requests are no
+  /// longer sent to it. Queued requests are returned as not run if it is the
+  /// present one.
+  void RecordLeaving(const targets::TargetRun& aRun);
   /// Announces that the daemon stops at aEnd. Until Close, requests that are
   /// expected to finish by then are still accepted, so that a service whose
   /// daemons all restart remains available.
@@ -218,6 +222,8 @@
   std::shared_ptr<http1::ReceiveBudget> m_receiveBudget;
   targets::TargetView m_view;
   targets::TargetCondition m_condition;
+  /// The latest run that left or is leaving; the id is empty if there is none.
+  targets::TargetRun m_leavingRun;
   std::optional<TimePoint> m_closeEnd;
   bool m_closed = false;
   uint32_t m_connectionLimit = 0;
--- a/wagtailbend/exchange/target_gateway_test.cc
+++ b/wagtailbend/exchange/target_gateway_test.cc
@@ -486,5 +486,45 @@
   EXPECT_EQ(server.AcceptedConnections(), 2U);
 }
 
+// Guards against requests for a target that says that it is leaving, and
+// against leaving out the one that replaces it.
+TEST_F(TargetGatewayTest, ATargetThatIsLeavingGetsNoNewRequests)
+{
+  m_server.AddResponse(Ok("x", "Seal: s\r\nLeaving: 1\r\n"));
+  EXPECT_EQ(RunOne(MakeAttempt(1)).outcome, Outcome::kResponded);
+  EXPECT_FALSE(m_gateway->IsAccepting());
+  ASSERT_EQ(m_observer.m_conditions.size(), 1U);
+  EXPECT_TRUE(m_observer.m_conditions[0].leaving);
+  // A heartbeat that doesn't know it yet.
+  SetTarget(true);
+  m_results.clear();
+  const AttemptResult rejected = RunOne(MakeAttempt(2));
+  EXPECT_EQ(rejected.outcome, Outcome::kNotRun);
+  EXPECT_EQ(rejected.error.kind, ErrorKind::kDraining);
+  EXPECT_EQ(m_server.Requests().size(), 1U);
+
+  targets::TargetView next;
+  next.run = { "t-1", 6 };
+  next.accepting = true;
+  next.slots = 2;
+  m_gateway->SetTarget(next);
+  EXPECT_TRUE(m_gateway->IsAccepting());
+}
+
+// Guards against a response of a target that ended, or of no target, that
+// limits the present one or takes it out of service.
+TEST_F(TargetGatewayTest, OnlyTheAddressedRunDescribesItsCondition)
+{
+  m_server.AddResponse("HTTP/1.1 421 No\r\nId: {id}\r\nLimit: 1\r\n"
+                       "Leaving: 1\r\nContent-Length: 0\r\n\r\n");
+  RunOne(MakeAttempt(1));
+  m_results.clear();
+  m_server.AddResponse(Ok("x", "Limit: 1\r\nLeaving: 1\r\n"));
+  RunOne(MakeAttempt(2));
+  EXPECT_TRUE(m_observer.m_conditions.empty());
+  EXPECT_TRUE(m_gateway->IsAccepting());
+  EXPECT_EQ(m_gateway->RequestsPerSecond(), std::nullopt);
+}
+
 } // namespace
 } // namespace wagtailbend::exchange
--- a/wagtailbend/node/node.cc
+++ b/wagtailbend/node/node.cc
@@ -113,6 +113,12 @@
           [this](const targets::TargetRun& aRun) {
             asio::post(m_controlIo, [this, aRun] { OnEarlierLeave(aRun); });
           },
+        .onTargetLeaving =
+          [this](const targets::TargetRun& aRun) {
+            asio::post(m_controlIo, [this, aRun] {
+              OnLeave(aRun.id, aRun.startTimeMs, [] {});
+            });
+          },
         .onWatchStore =
           [this](bool aWatch) { m_configWatcher.SetWatching(aWatch); } })
   , m_memberStore(*m_parts.platform,
@@ -263,8 +269,9 @@
   if (aRun.id.empty() || aRun == m_leavingTarget) {
     return;
   }
-  const bool isFirst = m_leavingTarget.id.empty();
-  if (isFirst) {
+  const bool isNewer = m_leavingTarget.id.empty() ||
+                       aRun.startTimeMs > m_leavingTarget.startTimeMs;
+  if (isNewer) {
     m_leavingTarget = aRun;
   }
   const targets::ViewChange change = m_target.RestoreLeave(aRun);
@@ -274,7 +281,7 @@
     .Add("changed", change == targets::ViewChange::kChanged ? "true" : "false")
     .Info();
   // Peers and the store keep the leave for the next process.
-  if (isFirst || change == targets::ViewChange::kChanged) {
+  if (isNewer || change == targets::ViewChange::kChanged) {
     PublishTarget();
   }
 }
--- a/wagtailbend/node/traffic_node.cc
+++ b/wagtailbend/node/traffic_node.cc
@@ -323,7 +323,10 @@
 {
   m_gateway.SetTarget(aView);
   m_localMember.slots = aView.slots;
-  m_localMember.leavingTarget = aLeaving;
+  // The control thread learns later of a leave that was seen in a response.
+  if (aLeaving.startTimeMs >= m_localMember.leavingTarget.startTimeMs) {
+    m_localMember.leavingTarget = aLeaving;
+  }
   PublishLocalMember();
 }
 
@@ -462,6 +465,8 @@
   if (aMember.address == m_localMember.address) {
     if (aMember.incarnation != m_localMember.incarnation &&
         !aMember.leavingTarget.id.empty()) {
+      // Requests of the same peer may follow in the next frame.
+      m_gateway.RecordLeaving(aMember.leavingTarget);
       m_callbacks.onEarlierLeave(aMember.leavingTarget);
     }
     return;
@@ -505,6 +510,10 @@
       peer->earlierLeave = peer->member.leavingTarget;
     }
   }
+  if (aMember.leavingTarget.startTimeMs >= peer->earlierLeave.startTimeMs) {
+    // The member passes it on from now on.
+    peer->earlierLeave = {};
+  }
   Event("member")
     .Add("member", aMember.address)
     .Add("incarnation", aMember.incarnation)
@@ -601,14 +610,14 @@
     event.Add("reason", aReason);
   }
   event.Info();
-  Peer* peer = FindPeer(aAddress);
+  const Peer* peer = FindPeer(aAddress);
   if (peer != nullptr && aReason.empty()) {
     SendEarlierLeave(*peer);
   }
 }
 
 void
-TrafficNode::SendEarlierLeave(Peer& aPeer)
+TrafficNode::SendEarlierLeave(const Peer& aPeer)
 {
   if (aPeer.earlierLeave.id.empty()) {
     return;
@@ -617,7 +626,7 @@
   // and would trust a late heartbeat of the target that left.
   mesh::Member earlier = aPeer.member;
   earlier.incarnation = 0;
-  earlier.leavingTarget = std::exchange(aPeer.earlierLeave, {});
+  earlier.leavingTarget = aPeer.earlierLeave;
   mesh::wire::Frame frame;
   *frame.mutable_member_update()->mutable_member() = mesh::ToProto(earlier);
   aPeer.link->Send(frame);
@@ -832,6 +841,13 @@
                                   : "none")
     .Add("leaving", aState.leaving ? "true" : "false")
     .Add("sent", m_gateway.Counts().sent);
+  if (aState.leaving && m_localMember.leavingTarget != aRun) {
+    // Before the response is passed on, so that whoever receives it also knows
+    // what to tell the next process of this daemon.
+    m_localMember.leavingTarget = aRun;
+    AnnounceLocalMember();
+    m_callbacks.onTargetLeaving(aRun);
+  }
   if (aState.isLimitUnreadable) {
     event.Add("error", "limit is not a number >= 0").Warn();
     return;
--- a/wagtailbend/node/traffic_node.h
+++ b/wagtailbend/node/traffic_node.h
@@ -43,6 +43,8 @@
   /// A peer reports that the local target left while an earlier process of this
   /// daemon ran.
   std::function<void(const targets::TargetRun&)> onEarlierLeave;
+  /// The local target says in its responses that it is leaving.
+  std::function<void(const targets::TargetRun&)> onTargetLeaving;
   /// Whether this daemon has to watch the store for configuration changes.
   std::function<void(bool aWatch)> onWatchStore;
 };
@@ -167,7 +169,8 @@
     exchange::LoadReport report;
     TimePoint reportedAt{};
     uint32_t sentSinceReport = 0;
-    /// Target run that left during an earlier process of this peer.
+    /// Target run that left during an earlier process of this peer, until the
+    /// peer says so itself.
     targets::TargetRun earlierLeave;
     /// When the link was last up or the member record last changed.
     TimePoint lastUpAt{};
@@ -178,7 +181,7 @@
   void Tick();
   void PublishLocalMember();
   void AnnounceLocalMember();
-  void SendEarlierLeave(Peer& aPeer);
+  void SendEarlierLeave(const Peer& aPeer);
   void UpdateDaemonCounts();
   void UpdateStoreWatch();
   Peer* FindPeer(const std::string& aAddress);
--- a/wagtailbend/targets/target_state.h
+++ b/wagtailbend/targets/target_state.h
@@ -51,6 +51,15 @@
   auto operator<=>(const TargetRun&) const = default;
 };
 
+/// Returns true if aRun is the run aLeft of a target, or an earlier one of the
+/// same target. Thread-safe.
+inline bool
+IsCovered(const TargetRun& aRun, const TargetRun& aLeft)
+{
+  return !aLeft.id.empty() && aRun.id == aLeft.id &&
+         aRun.startTimeMs <= aLeft.startTimeMs;
+}
+
 /// What the daemon needs to know of its target to send it requests.
 struct TargetView
 {
