--- a/testing/fakes/in_memory_platform.cc
+++ b/testing/fakes/in_memory_platform.cc
@@ -115,6 +115,7 @@
   {
     const std::lock_guard lock(m_mutex);
     ++m_counts[static_cast<size_t>(aOperation)];
+    m_seenGeneration = m_generation;
     if (!m_faults.operations.empty() &&
         !m_faults.operations.contains(aOperation)) {
       return FaultKind::kNone;
@@ -263,4 +264,28 @@
   return found == m_objects.end() ? std::nullopt : std::optional(found->second);
 }
 
+uint64_t
+InMemoryPlatform::Generation() const
+{
+  const std::lock_guard lock(m_mutex);
+  return m_seenGeneration;
+}
+
+void
+InMemoryPlatform::TakeBackup()
+{
+  const std::lock_guard lock(m_mutex);
+  m_backupRows = m_rows;
+  m_backupVersion = m_lastVersion;
+}
+
+void
+InMemoryPlatform::Restore()
+{
+  const std::lock_guard lock(m_mutex);
+  m_rows = m_backupRows;
+  m_lastVersion = m_backupVersion;
+  ++m_generation;
+}
+
 } // namespace wagtailbend::testing_fakes
--- a/testing/fakes/in_memory_platform.h
+++ b/testing/fakes/in_memory_platform.h
@@ -83,6 +83,11 @@
   /// Replaces the faults and restarts their counters.
   void SetFaults(Faults aFaults);
 
+  /// Keeps a copy of all rows for Restore.
+  void TakeBackup();
+  /// Goes back to the rows and the version of the copy.
+  void Restore();
+
   /// Operations received so far, failed ones included.
   uint64_t Count(Operation aOperation) const;
   uint64_t TotalCount() const;
@@ -97,6 +102,7 @@
                              const std::string& aBytes) override;
   Result<std::optional<std::string>> GetObject(
     const std::string& aKey) override;
+  uint64_t Generation() const override;
 
 private:
   /// Counts the operation, waits for the delay, returns the fault to apply.
@@ -111,6 +117,11 @@
   std::array<uint64_t, kOperationCount> m_counts{};
   uint64_t m_lastVersion = 0;
   std::map<std::pair<std::string, std::string>, store::Row> m_rows;
+  std::map<std::pair<std::string, std::string>, store::Row> m_backupRows;
+  uint64_t m_backupVersion = 0;
+  uint64_t m_generation = 1;
+  /// Generation of the last operation.
+  uint64_t m_seenGeneration = 0;
   std::map<std::string, std::string> m_objects;
 };
 
--- a/wagtailbend/node/config_watcher.cc
+++ b/wagtailbend/node/config_watcher.cc
@@ -102,6 +102,7 @@
     const Error* error = GetError(snapshot);
     UpdateStoreState(error);
     if (error == nullptr) {
+      UpdateGeneration();
       retryDelay = kFirstRetryDelay;
       for (const store::Row& row : GetValue(snapshot).rows) {
         ApplyRow(row.key, row.value);
@@ -131,6 +132,7 @@
       return !lostHistory;
     }
     UpdateStoreState(nullptr);
+    UpdateGeneration();
     version = std::max(version, GetValue(changes).version);
     for (const store::RowChange& change : GetValue(changes).changes) {
       if (change.value) {
@@ -173,4 +175,15 @@
   m_onStoreStateChange(lost);
 }
 
+void
+ConfigWatcher::UpdateGeneration()
+{
+  const uint64_t generation = m_platform.Generation();
+  const std::optional<uint64_t> known = std::exchange(m_generation, generation);
+  if (!known || *known == generation) {
+    return;
+  }
+  observability::Event("store_restored").Add("generation", generation).Info();
+}
+
 } // namespace wagtailbend::node
--- a/wagtailbend/node/config_watcher.h
+++ b/wagtailbend/node/config_watcher.h
@@ -8,6 +8,7 @@
 #include <condition_variable>
 #include <functional>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 
@@ -63,6 +64,7 @@
   /// Returns false if the watcher stops.
   bool WaitUntilWatching();
   void UpdateStoreState(const Error* aStoreError);
+  void UpdateGeneration();
 
   store::Platform& m_platform;
   const ConfigSource m_source;
@@ -73,6 +75,8 @@
   bool m_stopping = false;
   bool m_watching = true;
   bool m_storeLost = false;
+  /// Newest known generation of the store; empty before the first response.
+  std::optional<uint64_t> m_generation;
   std::thread m_thread;
 };
 
--- a/wagtailbend/node/traffic_node.cc
+++ b/wagtailbend/node/traffic_node.cc
@@ -262,6 +262,13 @@
 {
   const auto& known = m_dispatcher.Table();
   if (known && known->Version() >= aConfig.version) {
+    if (known->Version() > aConfig.version) {
+      Event("config_older")
+        .Add("version", aConfig.version)
+        .Add("in_force", known->Version())
+        .Add("from", aSource)
+        .Info();
+    }
     return;
   }
   if (const std::string problem = routes::ValidateRouteConfig(aConfig);
--- a/wagtailbend/store/platform.h
+++ b/wagtailbend/store/platform.h
@@ -21,7 +21,8 @@
 namespace wagtailbend::store {
 
 /// One row of a table. Versions come from a single counter of the whole store,
-/// so a row that is deleted and written again never reuses a version.
+/// so within one generation of the store a row that is deleted and written
+/// again never reuses a version.
 struct Row
 {
   /// UTF-8.
@@ -118,6 +119,8 @@
   std::vector<Row> rows;
   /// Version of the store at the snapshot; to be passed to WaitForChanges.
   uint64_t version = 0;
+  /// Generation of the store at the snapshot; see Platform::Generation.
+  uint64_t generation = 0;
 
   bool operator==(const TableSnapshot&) const = default;
 };
@@ -138,6 +141,9 @@
   std::vector<RowChange> changes;
   /// To be passed to the next WaitForChanges.
   uint64_t version = 0;
+  /// Generation of the store at the response. If it is not that of the snapshot
+  /// or call before, changes may be missing: read the table again.
+  uint64_t generation = 0;
 
   bool operator==(const TableChanges&) const = default;
 };
@@ -175,6 +181,12 @@
                                               uint64_t aVersion,
                                               Duration aWait);
 
+  /// Returns the newest generation of the store in any response so far; 0 if
+  /// the platform names none. It increases when the store is restored from a
+  /// backup: writes since the backup are undone although they were
+  /// acknowledged, and their versions are given out again. Does not block.
+  virtual uint64_t Generation() const { return 0; }
+
   /// Aborts waiting calls and makes later ones fail, for process shutdown.
   virtual void Interrupt() {}
 
