Read the configuration again when the store was restored

A daemon that watches the store could keep an old configuration until the next change: no call fails, so nothing is logged.

Cause: WatchFeed goes on from the last version that it read. After a restore versions are given out again; once the store has passed that version, a change below it is never reported, and no 410 shows it. A class of fault: a position in a sequence that is kept beyond the sequence that it belongs to.

Now an answer of a newer generation ends the feed, and the table is read again at once. Only a greater generation does, so that an answer without one cannot cause reads in a loop.

ConfigWatcherTest.ReadsAChangeWhoseVersionWasGivenOutBeforeARestore failed before (version 7 not read within 1 s) and passes now.

--- a/wagtailbend/node/config_watcher.cc
+++ b/wagtailbend/node/config_watcher.cc
@@ -107,7 +107,7 @@
       for (const store::Row& row : GetValue(snapshot).rows) {
         ApplyRow(row.key, row.value);
       }
-      if (!WatchFeed(GetValue(snapshot).version)) {
+      if (!WatchFeed(GetValue(snapshot))) {
         continue;
       }
     }
@@ -119,9 +119,9 @@
 }
 
 bool
-ConfigWatcher::WatchFeed(uint64_t aVersion)
+ConfigWatcher::WatchFeed(const store::TableSnapshot& aSnapshot)
 {
-  uint64_t version = aVersion;
+  uint64_t version = aSnapshot.version;
   Duration wait = kFirstChangeWait;
   while (IsWatching() && WaitUnlessStopping(Duration{})) {
     auto changes = m_platform.WaitForChanges(
@@ -133,6 +133,9 @@
     }
     UpdateStoreState(nullptr);
     UpdateGeneration();
+    if (GetValue(changes).generation > aSnapshot.generation) {
+      return false;
+    }
     version = std::max(version, GetValue(changes).version);
     for (const store::RowChange& change : GetValue(changes).changes) {
       if (change.value) {
--- a/wagtailbend/node/config_watcher.h
+++ b/wagtailbend/node/config_watcher.h
@@ -53,10 +53,10 @@
 
 private:
   void Run();
-  /// Applies changes until a call fails or watching ends. Returns true if a
-  /// delay is needed before the table is read again, that is, after any failure
-  /// except a lost history.
-  bool WatchFeed(uint64_t aVersion);
+  /// Applies the changes after aSnapshot until a call fails, the store was
+  /// restored or watching ends. Returns true if a delay is needed before the
+  /// table is read again, that is, after any failure except a lost history.
+  bool WatchFeed(const store::TableSnapshot& aSnapshot);
   void ApplyRow(const std::string& aKey, const std::string& aValue);
   /// Returns false if the watcher stops.
   bool WaitUnlessStopping(Duration aDuration);
--- a/wagtailbend/node/config_watcher_test.cc
+++ b/wagtailbend/node/config_watcher_test.cc
@@ -37,26 +37,43 @@
     m_row = { kKey, aVersion, std::to_string(aVersion) };
     m_changed.notify_all();
   }
+  /// Restores the store, in which the configuration was then written again
+  /// with a lower version of the row. Waiting calls return without a change.
+  void Restore(uint64_t aVersion, uint64_t aRowVersion)
+  {
+    const std::lock_guard lock(m_mutex);
+    m_row = { kKey, aRowVersion, std::to_string(aVersion) };
+    ++m_generation;
+    m_changed.notify_all();
+  }
   Result<store::TableSnapshot> ReadTable(const std::string&) override
   {
     const std::lock_guard lock(m_mutex);
-    return store::TableSnapshot{ { m_row }, m_row.version };
+    return store::TableSnapshot{ { m_row }, m_row.version, m_generation };
   }
   Result<store::TableChanges> WaitForChanges(const std::string&,
                                              uint64_t aVersion,
                                              Duration aWait) override
   {
     std::unique_lock lock(m_mutex);
-    m_changed.wait_for(lock, aWait, [this, aVersion] {
-      return m_row.version > aVersion || m_interrupted;
-    });
+    m_changed.wait_for(
+      lock, aWait, [this, aVersion, generation = m_generation] {
+        return m_row.version > aVersion || m_generation != generation ||
+               m_interrupted;
+      });
     store::TableChanges changes;
     changes.version = m_row.version;
+    changes.generation = m_generation;
     if (m_row.version > aVersion) {
       changes.changes.push_back({ m_row.key, m_row.version, m_row.value });
     }
     return changes;
   }
+  uint64_t Generation() const override
+  {
+    const std::lock_guard lock(m_mutex);
+    return m_generation;
+  }
   void Interrupt() override
   {
     const std::lock_guard lock(m_mutex);
@@ -65,8 +82,9 @@
   }
 
 private:
-  std::mutex m_mutex;
+  mutable std::mutex m_mutex;
   std::condition_variable m_changed;
+  uint64_t m_generation = 1;
   store::Row m_row{ kKey, 1, "1" };
   bool m_interrupted = false;
 };
@@ -137,5 +155,17 @@
   EXPECT_TRUE(WaitForVersion(5, 1000));
 }
 
+// Guards against a change that is never read since its version, given out
+// twice, is not above the last one read from the store as it was before a
+// restore.
+TEST_F(ConfigWatcherTest, ReadsAChangeWhoseVersionWasGivenOutBeforeARestore)
+{
+  m_platform.Put(5);
+  m_watcher.Start();
+  ASSERT_TRUE(WaitForVersion(5, 1000));
+  m_platform.Restore(/*aVersion=*/7, /*aRowVersion=*/2);
+  EXPECT_TRUE(WaitForVersion(7, 1000));
+}
+
 } // namespace
 } // namespace wagtailbend::node
