Write the rows of daemons again when the store was restored

What callers would have seen: after a restore, a target whose leave was acknowledged gets requests again once all daemons that knew it have ended (20 requests in users_store_restored_test); a daemon that starts finds no peers, and so nobody who tells it of a newer configuration, for up to 60 s; a peer's row is deleted although it runs.

Cause: MemberStore took each acknowledged write as final. It never looked at its own row again; after a conflict it took the older row that came back for what it had stored, with the older leave; and it deleted rows by a version that may since have been given to another one.

Now daemons tell each other the store's generation in their load reports, since only eight of a region watch it. Each one that hears of a newer one writes its row again and then reads all rows, as after a start, so that of two daemons at least one sees the other. A row that comes back does not replace what this process knows. Before a deletion the row is read, which shows a restore. A read that does not show the own row as stored has it written again, at most once a minute, whatever removed it. Leaves are compared in one place (IsLater), also where a start time is missing.

Ruled out: versions qualified by the generation in conditions, since the users' interface has no such condition; a restore between the read of a row and its deletion remains, and the minute's read mends it.

The test of a missing row was written with the fix and not run before it.

--- a/wagtailbend/exchange/attempt.h
+++ b/wagtailbend/exchange/attempt.h
@@ -70,6 +70,8 @@
   uint64_t configVersion = 0;
   /// The daemon receives no updates from the store.
   bool storeLost = false;
+  /// Newest known generation of the store; see store::Platform::Generation.
+  uint64_t storeGeneration = 0;
   double failureShare = 0;
 
   bool operator==(const LoadReport&) const = default;
--- a/wagtailbend/exchange/target_gateway.cc
+++ b/wagtailbend/exchange/target_gateway.cc
@@ -93,7 +93,7 @@
 void
 TargetGateway::RecordLeaving(const targets::TargetRun& aRun)
 {
-  if (aRun.startTimeMs < m_leavingRun.startTimeMs) {
+  if (targets::IsLater(m_leavingRun, aRun)) {
     return;
   }
   m_leavingRun = aRun;
--- a/wagtailbend/mesh/convert.cc
+++ b/wagtailbend/mesh/convert.cc
@@ -118,6 +118,7 @@
   }
   report.set_config_version(aReport.configVersion);
   report.set_store_lost(aReport.storeLost);
+  report.set_store_generation(aReport.storeGeneration);
   report.set_failure_permille(ToPermille(aReport.failureShare));
   report.set_requests_per_second(aReport.requestsPerSecond.value_or(0));
   return report;
@@ -143,6 +144,7 @@
   }
   report.configVersion = aReport.config_version();
   report.storeLost = aReport.store_lost();
+  report.storeGeneration = aReport.store_generation();
   report.failureShare = aReport.failure_permille() / kPermille;
   if (aReport.requests_per_second() > 0) {
     report.requestsPerSecond = aReport.requests_per_second();
--- a/wagtailbend/mesh/mesh_test.cc
+++ b/wagtailbend/mesh/mesh_test.cc
@@ -32,6 +32,7 @@
     report.accepting = true;
     report.slots = 7;
     report.configVersion = m_config.version;
+    report.storeGeneration = 3;
     return report;
   }
   void OnMember(const Member& aMember) override
@@ -253,6 +254,7 @@
 {
   RunFor(60);
   ASSERT_TRUE(m_link->IsUp());
+  EXPECT_EQ(m_clientNode.m_report.storeGeneration, 3U);
   m_target.AddResponse(OkResponse());
   Start(1, false);
   RunFor(60);
--- a/wagtailbend/node/config_watcher.cc
+++ b/wagtailbend/node/config_watcher.cc
@@ -22,11 +22,13 @@
 ConfigWatcher::ConfigWatcher(store::Platform& aPlatform,
                              ConfigSource aSource,
                              OnConfig aOnConfig,
-                             OnStoreStateChange aOnStoreStateChange)
+                             OnStoreStateChange aOnStoreStateChange,
+                             OnGeneration aOnGeneration)
   : m_platform(aPlatform)
   , m_source(std::move(aSource))
   , m_onConfig(std::move(aOnConfig))
   , m_onStoreStateChange(std::move(aOnStoreStateChange))
+  , m_onGeneration(std::move(aOnGeneration))
 {
 }
 
@@ -183,10 +185,13 @@
 {
   const uint64_t generation = m_platform.Generation();
   const std::optional<uint64_t> known = std::exchange(m_generation, generation);
-  if (!known || *known == generation) {
+  if (known == generation) {
     return;
   }
-  observability::Event("store_restored").Add("generation", generation).Info();
+  if (known) {
+    observability::Event("store_restored").Add("generation", generation).Info();
+  }
+  m_onGeneration(generation);
 }
 
 } // namespace wagtailbend::node
--- a/wagtailbend/node/config_watcher.h
+++ b/wagtailbend/node/config_watcher.h
@@ -32,14 +32,17 @@
 public:
   using OnConfig = std::function<void(const routes::RouteConfig&)>;
   using OnStoreStateChange = std::function<void(bool aLost)>;
+  using OnGeneration = std::function<void(uint64_t aGeneration)>;
 
-  /// Both callbacks run on the watcher's thread. aOnConfig is called for older
+  /// The callbacks run on the watcher's thread. aOnConfig is called for older
   /// versions too, aOnStoreStateChange when the store becomes unreachable or
-  /// reachable again.
+  /// reachable again, aOnGeneration when a response shows that the store is of
+  /// another generation, and after the first response.
   ConfigWatcher(store::Platform& aPlatform,
                 ConfigSource aSource,
                 OnConfig aOnConfig,
-                OnStoreStateChange aOnStoreStateChange);
+                OnStoreStateChange aOnStoreStateChange,
+                OnGeneration aOnGeneration);
   ~ConfigWatcher();
   ConfigWatcher(const ConfigWatcher&) = delete;
   ConfigWatcher& operator=(const ConfigWatcher&) = delete;
@@ -70,6 +73,7 @@
   const ConfigSource m_source;
   const OnConfig m_onConfig;
   const OnStoreStateChange m_onStoreStateChange;
+  const OnGeneration m_onGeneration;
   std::mutex m_mutex;
   std::condition_variable m_wakeup;
   bool m_stopping = false;
--- a/wagtailbend/node/config_watcher_test.cc
+++ b/wagtailbend/node/config_watcher_test.cc
@@ -99,7 +99,8 @@
         [this](const routes::RouteConfig& aConfig) {
           m_version = aConfig.version;
         },
-        [this](bool aLost) { m_lost = aLost; })
+        [this](bool aLost) { m_lost = aLost; },
+        [this](uint64_t aGeneration) { m_generation = aGeneration; })
   {
   }
   ~ConfigWatcherTest() override
@@ -120,6 +121,7 @@
   FeedPlatform m_platform;
   std::atomic<uint64_t> m_version = 0;
   std::atomic<bool> m_lost = false;
+  std::atomic<uint64_t> m_generation = 0;
   ConfigWatcher m_watcher;
 };
 
@@ -163,8 +165,10 @@
   m_platform.Put(5);
   m_watcher.Start();
   ASSERT_TRUE(WaitForVersion(5, 1000));
+  EXPECT_EQ(m_generation, 1U);
   m_platform.Restore(/*aVersion=*/7, /*aRowVersion=*/2);
   EXPECT_TRUE(WaitForVersion(7, 1000));
+  EXPECT_EQ(m_generation, 2U);
 }
 
 } // namespace
--- a/wagtailbend/node/member_store.cc
+++ b/wagtailbend/node/member_store.cc
@@ -54,6 +54,36 @@
   m_wakeup.notify_all();
 }
 
+void
+MemberStore::OnGeneration(uint64_t aGeneration)
+{
+  {
+    const std::lock_guard lock(m_mutex);
+    m_reportedGeneration = std::max(m_reportedGeneration.load(), aGeneration);
+  }
+  m_wakeup.notify_all();
+}
+
+uint64_t
+MemberStore::KnownGeneration() const
+{
+  return std::max(m_reportedGeneration.load(), m_platform.Generation());
+}
+
+bool
+MemberStore::MayRowBeUndone() const
+{
+  return m_hasStored &&
+         (m_rowMissing || KnownGeneration() > m_storedGeneration);
+}
+
+bool
+MemberStore::IsRowAsStored() const
+{
+  const auto found = m_rowVersions.find(m_localAddress);
+  return found != m_rowVersions.end() && m_localRowVersion == found->second;
+}
+
 void
 MemberStore::RemoveLocalRow()
 {
@@ -109,7 +139,7 @@
   while (!m_stopping) {
     const auto hasPendingWork = [this] {
       return m_removeRequested || m_pendingRecord.has_value() ||
-             !m_peerRowsToDelete.empty();
+             !m_peerRowsToDelete.empty() || MayRowBeUndone();
     };
     if (!hasPendingWork() && hasReadRows) {
       const bool woken = m_wakeup.wait_for(lock, wait, [this, &hasPendingWork] {
@@ -118,10 +148,19 @@
       if (!woken) {
         lock.unlock();
         read();
+        m_rowMissing = wait == kReadInterval && !IsRowAsStored();
         lock.lock();
       }
       continue;
     }
+    if (MayRowBeUndone()) {
+      m_rowMissing = false;
+      m_localRowVersionKnown = false;
+      hasReadRows = false;
+      if (!m_pendingRecord) {
+        m_pendingRecord = m_storedRecord;
+      }
+    }
     if (m_removeRequested) {
       const std::optional<mesh::Member> unwritten =
         std::exchange(m_pendingRecord, {});
@@ -182,8 +221,16 @@
     found ? std::optional<uint64_t>(found->version) : std::nullopt;
   m_localRowVersionKnown = true;
   mesh::wire::MemberRecord record;
-  if (found && record.ParseFromString(found->value)) {
-    m_storedRecord = mesh::FromProto(record);
+  if (!found || !record.ParseFromString(found->value)) {
+    return true;
+  }
+  // After a restore the row may be older than what this process stored.
+  const mesh::Member stored = mesh::FromProto(record);
+  if (!m_hasStored) {
+    m_storedRecord = stored;
+  } else if (targets::IsLater(stored.leavingTarget,
+                              m_storedRecord.leavingTarget)) {
+    m_storedRecord.leavingTarget = stored.leavingTarget;
   }
   return true;
 }
@@ -194,13 +241,16 @@
   if (!ReadLocalRow()) {
     return false;
   }
-  if (aMember.leavingTarget.id.empty()) {
+  if (targets::IsLater(m_storedRecord.leavingTarget, aMember.leavingTarget)) {
     aMember.leavingTarget = m_storedRecord.leavingTarget;
   }
+  const uint64_t generation = KnownGeneration();
   if (!CommitLocalRow(mesh::ToProto(aMember).SerializeAsString())) {
     return false;
   }
   m_storedRecord = aMember;
+  m_hasStored = true;
+  m_storedGeneration = generation;
   return true;
 }
 
@@ -252,6 +302,12 @@
     if (version == m_rowVersions.end()) {
       continue;
     }
+    // Shows whether the store was restored since the version was read. After a
+    // restore the same version may be that of a newer row.
+    const auto row = m_platform.ReadRow(kTable, address);
+    if (!IsOk(row) || KnownGeneration() != m_rowVersionsGeneration) {
+      continue;
+    }
     store::TransactRequest request;
     request.conditions.push_back({ kTable, address, version->second });
     request.writes.push_back({ kTable, address, std::nullopt });
@@ -267,6 +323,7 @@
 bool
 MemberStore::ReadAllRows()
 {
+  const uint64_t generation = KnownGeneration();
   auto rows = m_platform.ListRows(kTable, "");
   if (const Error* error = GetError(rows)) {
     observability::Event("members_unread").Add("reason", error->detail).Info();
@@ -274,6 +331,7 @@
   }
   std::vector<mesh::Member> members;
   m_rowVersions.clear();
+  m_rowVersionsGeneration = generation;
   for (const store::Row& row : GetValue(rows)) {
     m_rowVersions[row.key] = row.version;
     mesh::wire::MemberRecord record;
--- a/wagtailbend/node/member_store.h
+++ b/wagtailbend/node/member_store.h
@@ -6,7 +6,9 @@
 
 #pragma once
 
+#include <atomic>
 #include <condition_variable>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <mutex>
@@ -21,7 +23,8 @@
 namespace wagtailbend::node {
 
 /// Makes all calls on a dedicated thread, one at a time. The platform must
-/// outlive it. Put, RemoveLocalRow, RemovePeerRows and Stop are thread-safe.
+/// outlive it. Put, OnGeneration, RemoveLocalRow, RemovePeerRows and Stop are
+/// thread-safe.
 class MemberStore
 {
 public:
@@ -40,6 +43,10 @@
   /// store's thread when this or a later record is stored. If aMember names no
   /// leaving target, the one that an earlier process stored is kept.
   void Put(const mesh::Member& aMember, std::function<void()> aDone);
+  /// Notes a generation of the store that this or another daemon has seen. If
+  /// it is newer than the row of this daemon, the row is stored again, since a
+  /// restore may have undone it, and then all rows are read.
+  void OnGeneration(uint64_t aGeneration);
   /// For a planned stop: deletes this daemon's row, or marks it as stopped if
   /// it names a leaving target, which the next process must know. Not retried.
   void RemoveLocalRow();
@@ -51,6 +58,10 @@
 
 private:
   void Run();
+  uint64_t KnownGeneration() const;
+  /// Returns true if this daemon's row may not be as it was stored.
+  bool MayRowBeUndone() const;
+  bool IsRowAsStored() const;
   bool ReadLocalRow();
   bool WriteLocalRow(mesh::Member aMember);
   /// Deletes the row or marks it as stopped.
@@ -70,15 +81,26 @@
   std::optional<mesh::Member> m_pendingRecord;
   std::vector<std::function<void()>> m_storedCallbacks;
   std::vector<std::string> m_peerRowsToDelete;
-  /// Row versions at the last read of all rows. Must be used on the store's
-  /// thread only.
+  /// Newest generation of the store that a peer or another thread has seen.
+  std::atomic<uint64_t> m_reportedGeneration{ 0 };
+  /// Row versions at the last read of all rows, and the generation of the store
+  /// that they belong to. Must be used on the store's thread only.
   std::map<std::string, uint64_t> m_rowVersions;
+  uint64_t m_rowVersionsGeneration = 0;
   /// Version of this daemon's row. Must be used on the store's thread only.
   std::optional<uint64_t> m_localRowVersion;
   bool m_localRowVersionKnown = false;
-  /// This daemon's record as last stored by this or an earlier process. Must be
-  /// used on the store's thread only.
+  /// This daemon's record as last stored by this process, or by an earlier one
+  /// if this one has stored none yet. Must be used on the store's thread only.
   mesh::Member m_storedRecord;
+  /// This process has stored a record. Must be used on the store's thread only.
+  bool m_hasStored = false;
+  /// Generation of the store known before the row was stored. Must be used on
+  /// the store's thread only.
+  uint64_t m_storedGeneration = 0;
+  /// The last read showed another row than the one stored. Must be used on the
+  /// store's thread only.
+  bool m_rowMissing = false;
   std::thread m_thread;
 };
 
--- a/wagtailbend/node/member_store_test.cc
+++ b/wagtailbend/node/member_store_test.cc
@@ -164,6 +164,83 @@
   EXPECT_EQ(Stored(kLocalAddress)->leavingTarget, member.leavingTarget);
 }
 
+// Guards against a row that is gone, with the leave in it, until the next
+// process writes one.
+TEST_F(MemberStoreTest, WritesItsRowAgainWhenARestoreUndidIt)
+{
+  mesh::Member member = MakeMember(kLocalAddress, 1);
+  member.leavingTarget = { "target-1", 77 };
+  m_store.Put(member, nullptr);
+  m_store.Start();
+  ASSERT_TRUE(WaitFor([this] { return m_members.size() == 1; }));
+  m_platform.Restore();
+  Write("10.0.0.2:7",
+        mesh::ToProto(MakeMember("10.0.0.2:7", 1)).SerializeAsString());
+  m_store.OnGeneration(2);
+  EXPECT_TRUE(WaitFor([this] { return Stored(kLocalAddress).has_value(); }));
+  EXPECT_EQ(Stored(kLocalAddress), member);
+  // One that started meanwhile, and found no peer.
+  EXPECT_TRUE(WaitFor([this] { return m_members.size() == 2; }));
+}
+
+// Guards against a daemon that starts later and does not find this one, whose
+// row a peer deleted by mistake.
+TEST_F(MemberStoreTest, WritesItsRowAgainWhenAReadDoesNotShowIt)
+{
+  Faults faults;
+  faults.kind = FaultKind::kDown;
+  faults.operations = { Operation::kListRows };
+  faults.limit = 2;
+  m_platform.SetFaults(faults);
+  m_store.Put(MakeMember(kLocalAddress, 1), nullptr);
+  m_store.Start();
+  ASSERT_TRUE(WaitFor([this] { return Stored(kLocalAddress).has_value(); }));
+  m_platform.Transact({ {}, { { kTable, kLocalAddress, std::nullopt } } });
+  EXPECT_FALSE(Stored(kLocalAddress).has_value());
+  EXPECT_TRUE(WaitFor([this] { return Stored(kLocalAddress).has_value(); }));
+}
+
+// Guards against taking the older row that a restore brought back for what this
+// process stored last, and with it an older leave.
+TEST_F(MemberStoreTest, KeepsItsLeaveWhenARestoreBringsBackAnOlderRow)
+{
+  mesh::Member member = MakeMember(kLocalAddress, 1);
+  member.leavingTarget = { "target-1", 77 };
+  m_store.Put(member, nullptr);
+  m_store.Start();
+  ASSERT_TRUE(WaitFor([this] { return m_members.size() == 1; }));
+  m_platform.TakeBackup();
+  member.leavingTarget = { "target-2", 99 };
+  ++member.revision;
+  std::atomic<bool> stored{ false };
+  m_store.Put(member, [&stored] { stored = true; });
+  ASSERT_TRUE(WaitFor([&stored] { return stored.load(); }));
+  m_platform.Restore();
+  stored = false;
+  m_store.Put(MakeMember(kLocalAddress, 3), [&stored] { stored = true; });
+  ASSERT_TRUE(WaitFor([&stored] { return stored.load(); }));
+  EXPECT_EQ(Stored(kLocalAddress)->leavingTarget, member.leavingTarget);
+}
+
+// Guards against deleting the row of a running peer because it was written
+// again after a restore and got the version of the row that was read.
+TEST_F(MemberStoreTest, KeepsAPeerRowWhoseVersionWasGivenOutTwice)
+{
+  m_store.Put(MakeMember(kLocalAddress, 1), nullptr);
+  m_platform.TakeBackup();
+  Write("10.0.0.2:7",
+        mesh::ToProto(MakeMember("10.0.0.2:7", 1)).SerializeAsString());
+  m_store.Start();
+  ASSERT_TRUE(WaitFor([this] { return m_members.size() == 2; }));
+  m_platform.Restore();
+  Write("10.0.0.2:7",
+        mesh::ToProto(MakeMember("10.0.0.2:7", 2)).SerializeAsString());
+  m_store.RemovePeerRows({ "10.0.0.2:7" });
+  m_store.OnGeneration(2);
+  EXPECT_TRUE(WaitFor([this] { return Stored(kLocalAddress).has_value(); }));
+  EXPECT_TRUE(Stored("10.0.0.2:7").has_value());
+}
+
 struct FaultCase
 {
   const char* name;
--- a/wagtailbend/node/node.cc
+++ b/wagtailbend/node/node.cc
@@ -119,6 +119,10 @@
               OnLeave(aRun.id, aRun.startTimeMs, [] {});
             });
           },
+        .onStoreGeneration =
+          [this](uint64_t aGeneration) {
+            m_memberStore.OnGeneration(aGeneration);
+          },
         .onWatchStore =
           [this](bool aWatch) { m_configWatcher.SetWatching(aWatch); } })
   , m_memberStore(*m_parts.platform,
@@ -137,6 +141,11 @@
       [this](bool aLost) {
         asio::post(m_trafficIo,
                    [this, aLost] { m_traffic.SetStoreLost(aLost); });
+      },
+      [this](uint64_t aGeneration) {
+        asio::post(m_trafficIo, [this, aGeneration] {
+          m_traffic.SetStoreGeneration(aGeneration);
+        });
       })
   , m_controlApi(m_parts.makeControlApi(*this))
   , m_metricsHandler(std::make_unique<MetricsHandler>(m_registry))
@@ -269,9 +278,8 @@
   if (aRun.id.empty() || aRun == m_leavingTarget) {
     return;
   }
-  const bool isNewer = m_leavingTarget.id.empty() ||
-                       aRun.startTimeMs > m_leavingTarget.startTimeMs;
-  if (isNewer) {
+  const bool isLater = targets::IsLater(aRun, m_leavingTarget);
+  if (isLater) {
     m_leavingTarget = aRun;
   }
   const targets::ViewChange change = m_target.RestoreLeave(aRun);
@@ -281,7 +289,7 @@
     .Add("changed", change == targets::ViewChange::kChanged ? "true" : "false")
     .Info();
   // Peers and the store keep the leave for the next process.
-  if (isNewer || change == targets::ViewChange::kChanged) {
+  if (isLater || change == targets::ViewChange::kChanged) {
     PublishTarget();
   }
 }
--- a/wagtailbend/node/traffic_node.cc
+++ b/wagtailbend/node/traffic_node.cc
@@ -331,7 +331,7 @@
   m_gateway.SetTarget(aView);
   m_localMember.slots = aView.slots;
   // The control thread learns later of a leave that was seen in a response.
-  if (aLeaving.startTimeMs >= m_localMember.leavingTarget.startTimeMs) {
+  if (!targets::IsLater(m_localMember.leavingTarget, aLeaving)) {
     m_localMember.leavingTarget = aLeaving;
   }
   PublishLocalMember();
@@ -463,6 +463,7 @@
   exchange::LoadReport report = m_gateway.Report("");
   report.configVersion = mesh::ConfigVersionOf(*this);
   report.storeLost = m_storeLost;
+  report.storeGeneration = m_storeGeneration;
   return report;
 }
 
@@ -517,7 +518,7 @@
       peer->earlierLeave = peer->member.leavingTarget;
     }
   }
-  if (aMember.leavingTarget.startTimeMs >= peer->earlierLeave.startTimeMs) {
+  if (!targets::IsLater(peer->earlierLeave, aMember.leavingTarget)) {
     // The member passes it on from now on.
     peer->earlierLeave = {};
   }
@@ -560,6 +561,17 @@
     peer->reportedAt = BootNow();
     peer->sentSinceReport = 0;
   }
+  SetStoreGeneration(aReport.storeGeneration);
+}
+
+void
+TrafficNode::SetStoreGeneration(uint64_t aGeneration)
+{
+  if (aGeneration <= m_storeGeneration) {
+    return;
+  }
+  m_storeGeneration = aGeneration;
+  m_callbacks.onStoreGeneration(aGeneration);
 }
 
 void
--- a/wagtailbend/node/traffic_node.h
+++ b/wagtailbend/node/traffic_node.h
@@ -45,6 +45,8 @@
   std::function<void(const targets::TargetRun&)> onEarlierLeave;
   /// The local target says in its responses that it is leaving.
   std::function<void(const targets::TargetRun&)> onTargetLeaving;
+  /// This daemon or a peer has seen a newer generation of the store.
+  std::function<void(uint64_t aGeneration)> onStoreGeneration;
   /// Whether this daemon has to watch the store for configuration changes.
   std::function<void(bool aWatch)> onWatchStore;
 };
@@ -73,6 +75,8 @@
                  const std::string& aSource);
   /// Sets whether this daemon has lost the store, for its load reports.
   void SetStoreLost(bool aLost) { m_storeLost = aLost; }
+  /// Records a generation of the store and tells peers with the next report.
+  void SetStoreGeneration(uint64_t aGeneration);
   void SetTarget(const targets::TargetView& aView,
                  const targets::TargetRun& aLeaving);
   void AddMembers(const std::vector<mesh::Member>& aMembers);
@@ -218,6 +222,7 @@
   TimePoint m_configRequestedAt{};
   bool m_watchesStore = true;
   bool m_storeLost = false;
+  uint64_t m_storeGeneration = 0;
   /// By daemon address.
   std::unordered_map<std::string, std::unique_ptr<Peer>> m_peers;
   std::unordered_map<std::string, std::vector<Peer*>> m_peersByService;
--- a/wagtailbend/targets/target_state.h
+++ b/wagtailbend/targets/target_state.h
@@ -60,6 +60,15 @@
          aRun.startTimeMs <= aLeft.startTimeMs;
 }
 
+/// Returns true if aNew started later than aOld, or is the first that is known:
+/// the id of a run is empty if there is none. Thread-safe.
+inline bool
+IsLater(const TargetRun& aNew, const TargetRun& aOld)
+{
+  return !aNew.id.empty() &&
+         (aOld.id.empty() || aNew.startTimeMs > aOld.startTimeMs);
+}
+
 /// What the daemon needs to know of its target to send it requests.
 struct TargetView
 {
--- a/wagtailbend/targets/target_state_test.cc
+++ b/wagtailbend/targets/target_state_test.cc
@@ -127,5 +127,16 @@
   EXPECT_TRUE(state.View().accepting);
 }
 
+// Guards against losing the leave of a target whose announcements name no start
+// time.
+TEST(TargetRunTest, AnyRunIsLaterThanNone)
+{
+  EXPECT_TRUE(IsLater({ "a", 0 }, {}));
+  EXPECT_FALSE(IsLater({}, { "a", 0 }));
+  EXPECT_FALSE(IsLater({}, {}));
+  EXPECT_TRUE(IsLater({ "a", 2 }, { "b", 1 }));
+  EXPECT_FALSE(IsLater({ "a", 1 }, { "b", 1 }));
+}
+
 } // namespace
 } // namespace wagtailbend::targets
