Remember a leave that comes before any heartbeat of the target

Found by users_store_restored_test: a target that leaves before its daemon has received a heartbeat of it, for example just after the daemon restarted, was acknowledged, but the leave stayed in that process.

Cause: Node::OnLeave told peers and store only if the leave changed the view of the target. TargetState now names the latest leave, known target or not, and each later one is published before it is acknowledged.

--- a/wagtailbend/node/node.cc
+++ b/wagtailbend/node/node.cc
@@ -346,11 +346,17 @@
     .Add("born_ms", aStartTimeMs)
     .Add("changed", change == targets::ViewChange::kChanged ? "true" : "false")
     .Info();
-  if (change != targets::ViewChange::kChanged) {
+  // Also a target that this process has not heard of: the next one may receive
+  // a late heartbeat of it.
+  const bool isLater =
+    targets::IsLater(m_target.LatestLeave(), m_leavingTarget);
+  if (!isLater && change != targets::ViewChange::kChanged) {
     aAcknowledge();
     return;
   }
-  m_leavingTarget = m_target.View().run;
+  if (isLater) {
+    m_leavingTarget = m_target.LatestLeave();
+  }
   PublishTarget();
   AcknowledgeWhenStored(std::move(aAcknowledge));
 }
--- a/wagtailbend/targets/target_state.cc
+++ b/wagtailbend/targets/target_state.cc
@@ -84,6 +84,9 @@
 {
   uint64_t& startTimeMs = m_leftRuns[aRun.id];
   startTimeMs = std::max(startTimeMs, aRun.startTimeMs);
+  if (IsLater(aRun, m_latestLeave)) {
+    m_latestLeave = aRun;
+  }
   if (m_leftRuns.size() > kMaxLeftTargets) {
     m_leftRuns.erase(m_leftRuns.begin());
   }
--- a/wagtailbend/targets/target_state.h
+++ b/wagtailbend/targets/target_state.h
@@ -110,6 +110,9 @@
   /// Heartbeats of that run are ignored: they were sent before it left.
   ViewChange RestoreLeave(const TargetRun& aRun);
 
+  /// Returns the run that started last among those that left, also if no
+  /// heartbeat of it was received; the id is empty if none left.
+  const TargetRun& LatestLeave() const { return m_latestLeave; }
   /// Not accepting requests until the first heartbeat.
   const TargetView& View() const { return m_view; }
   bool IsKnown() const { return m_hasHeartbeat; }
@@ -123,6 +126,7 @@
   uint64_t m_sequence = 0;
   /// By target id: start time of the latest run that left. Bounded in size.
   std::map<std::string, uint64_t> m_leftRuns;
+  TargetRun m_latestLeave;
 };
 
 } // namespace wagtailbend::targets
--- a/wagtailbend/targets/target_state_test.cc
+++ b/wagtailbend/targets/target_state_test.cc
@@ -127,6 +127,20 @@
   EXPECT_TRUE(state.View().accepting);
 }
 
+// Guards against forgetting a leave that comes before any heartbeat, and
+// against taking the leave of an earlier run for the latest one.
+TEST(TargetStateTest, LatestLeaveIncludesTargetsWithoutHeartbeat)
+{
+  TargetState state;
+  EXPECT_EQ(state.LatestLeave(), TargetRun{});
+  state.OnLeave("a", 5, 100);
+  EXPECT_EQ(state.LatestLeave(), (TargetRun{ "a", 5 }));
+  state.RestoreLeave({ "b", 3 });
+  EXPECT_EQ(state.LatestLeave(), (TargetRun{ "a", 5 }));
+  state.OnLeave("c", 0, 100);
+  EXPECT_EQ(state.LatestLeave(), (TargetRun{ "c", 100 }));
+}
+
 // Guards against losing the leave of a target whose announcements name no start
 // time.
 TEST(TargetRunTest, AnyRunIsLaterThanNone)
