--- a/wagtailbend/node/member_store.cc
+++ b/wagtailbend/node/member_store.cc
@@ -154,6 +154,10 @@
       continue;
     }
     if (MayRowBeUndone()) {
+      observability::Event("member_row_undone")
+        .Add("generation", KnownGeneration())
+        .Add("seen", m_rowMissing ? "true" : "false")
+        .Info();
       m_rowMissing = false;
       m_localRowVersionKnown = false;
       hasReadRows = false;
