Read the own row first after a restore of the store

A daemon that hears of a newer generation now reads its own row, and writes it and reads all rows only if it is not as it was stored: whoever reads the table after the restore then finds it anyway. A write whose answer was lost is recognized in the same way, which saves the second write.

--- a/wagtailbend/node/member_store.cc
+++ b/wagtailbend/node/member_store.cc
@@ -153,14 +153,9 @@
       }
       continue;
     }
-    if (MayRowBeUndone()) {
-      observability::Event("member_row_undone")
-        .Add("generation", KnownGeneration())
-        .Add("seen", m_rowMissing ? "true" : "false")
-        .Info();
-      m_rowMissing = false;
+    const bool isCheck = MayRowBeUndone();
+    if (isCheck) {
       m_localRowVersionKnown = false;
-      hasReadRows = false;
       if (!m_pendingRecord) {
         m_pendingRecord = m_storedRecord;
       }
@@ -183,8 +178,17 @@
       std::exchange(m_pendingRecord, {});
     auto callbacks = std::exchange(m_storedCallbacks, {});
     lock.unlock();
-    const bool stored = !value || WriteLocalRow(*value);
+    const WriteOutcome outcome =
+      value ? WriteLocalRow(*value) : WriteOutcome::kUnchanged;
+    const bool stored = outcome != WriteOutcome::kFailed;
     if (stored) {
+      if (isCheck && outcome == WriteOutcome::kWritten) {
+        observability::Event("member_row_undone")
+          .Add("generation", KnownGeneration())
+          .Info();
+        // Daemons that started meanwhile have not found this one.
+        hasReadRows = false;
+      }
       for (const auto& done : callbacks) {
         done();
       }
@@ -224,6 +228,7 @@
   m_localRowVersion =
     found ? std::optional<uint64_t>(found->version) : std::nullopt;
   m_localRowVersionKnown = true;
+  m_readValue = found ? std::optional<std::string>(found->value) : std::nullopt;
   mesh::wire::MemberRecord record;
   if (!found || !record.ParseFromString(found->value)) {
     return true;
@@ -239,23 +244,28 @@
   return true;
 }
 
-bool
+MemberStore::WriteOutcome
 MemberStore::WriteLocalRow(mesh::Member aMember)
 {
+  const uint64_t generationBeforeRead = KnownGeneration();
   if (!ReadLocalRow()) {
-    return false;
+    return WriteOutcome::kFailed;
   }
   if (targets::IsLater(m_storedRecord.leavingTarget, aMember.leavingTarget)) {
     aMember.leavingTarget = m_storedRecord.leavingTarget;
   }
-  const uint64_t generation = KnownGeneration();
-  if (!CommitLocalRow(mesh::ToProto(aMember).SerializeAsString())) {
-    return false;
+  const std::string value = mesh::ToProto(aMember).SerializeAsString();
+  const bool isUnchanged = m_readValue == value;
+  const uint64_t generation =
+    isUnchanged ? generationBeforeRead : KnownGeneration();
+  if (!isUnchanged && !CommitLocalRow(value)) {
+    return WriteOutcome::kFailed;
   }
   m_storedRecord = aMember;
   m_hasStored = true;
   m_storedGeneration = generation;
-  return true;
+  m_rowMissing = false;
+  return isUnchanged ? WriteOutcome::kUnchanged : WriteOutcome::kWritten;
 }
 
 void
@@ -284,6 +294,7 @@
   store::TransactRequest request;
   request.conditions.push_back({ kTable, m_localAddress, m_localRowVersion });
   request.writes.push_back({ kTable, m_localAddress, aValue });
+  m_readValue.reset();
   const store::TransactResult result = m_platform.Transact(request);
   if (const auto* committed = std::get_if<store::Committed>(&result)) {
     m_localRowVersion = aValue
--- a/wagtailbend/node/member_store.h
+++ b/wagtailbend/node/member_store.h
@@ -44,8 +44,8 @@
   /// leaving target, the one that an earlier process stored is kept.
   void Put(const mesh::Member& aMember, std::function<void()> aDone);
   /// Notes a generation of the store that this or another daemon has seen. If
-  /// it is newer than the row of this daemon, the row is stored again, since a
-  /// restore may have undone it, and then all rows are read.
+  /// it is newer than the row of this daemon, the row is read, since a restore
+  /// may have undone it. If so, it is stored again and then all rows are read.
   void OnGeneration(uint64_t aGeneration);
   /// For a planned stop: deletes this daemon's row, or marks it as stopped if
   /// it names a leaving target, which the next process must know. Not retried.
@@ -63,7 +63,14 @@
   bool MayRowBeUndone() const;
   bool IsRowAsStored() const;
   bool ReadLocalRow();
-  bool WriteLocalRow(mesh::Member aMember);
+  enum class WriteOutcome : uint8_t
+  {
+    kFailed,
+    /// The row was read and is as it should be.
+    kUnchanged,
+    kWritten,
+  };
+  WriteOutcome WriteLocalRow(mesh::Member aMember);
   /// Deletes the row or marks it as stopped.
   /// aUnwritten: a newer record that is not stored yet.
   void FinishLocalRow(const std::optional<mesh::Member>& aUnwritten);
@@ -90,6 +97,9 @@
   /// Version of this daemon's row. Must be used on the store's thread only.
   std::optional<uint64_t> m_localRowVersion;
   bool m_localRowVersionKnown = false;
+  /// Value of this daemon's row as read, until it is written. Must be used on
+  /// the store's thread only.
+  std::optional<std::string> m_readValue;
   /// This daemon's record as last stored by this process, or by an earlier one
   /// if this one has stored none yet. Must be used on the store's thread only.
   mesh::Member m_storedRecord;
--- a/wagtailbend/node/member_store_test.cc
+++ b/wagtailbend/node/member_store_test.cc
@@ -183,6 +183,23 @@
   EXPECT_TRUE(WaitFor([this] { return m_members.size() == 2; }));
 }
 
+// Guards against hundreds of daemons that all read all rows at the same moment,
+// although the restore did not concern their own.
+TEST_F(MemberStoreTest, OnlyReadsItsRowAfterARestoreThatKeptIt)
+{
+  m_store.Put(MakeMember(kLocalAddress, 1), nullptr);
+  m_store.Start();
+  ASSERT_TRUE(WaitFor([this] { return m_members.size() == 1; }));
+  m_platform.TakeBackup();
+  m_platform.Restore();
+  const uint64_t calls = m_platform.TotalCount();
+  m_store.OnGeneration(2);
+  EXPECT_TRUE(
+    WaitFor([this, calls] { return m_platform.TotalCount() > calls; }));
+  std::this_thread::sleep_for(std::chrono::milliseconds(200));
+  EXPECT_EQ(m_platform.TotalCount(), calls + 1);
+}
+
 // Guards against a daemon that starts later and does not find this one, whose
 // row a peer deleted by mistake.
 TEST_F(MemberStoreTest, WritesItsRowAgainWhenAReadDoesNotShowIt)
