Test that a leave seen in responses is not forgotten

TrafficNode had no test of its own; traffic_node_test.cc runs processes of daemons in the test, without their control thread.

No logic changed.

--- /dev/null
+++ b/wagtailbend/node/traffic_node_test.cc
@@ -0,0 +1,146 @@
+#include "wagtailbend/node/traffic_node.h"
+
+#include <chrono>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <asio/ip/tcp.hpp>
+#include <gtest/gtest.h>
+
+#include "wagtailbend/base/boot_time.h"
+
+namespace wagtailbend::node {
+namespace {
+
+using std::chrono::milliseconds;
+using targets::TargetRun;
+
+const TargetRun kEarlierRun{ "target-1", 50 };
+const TargetRun kRun{ "target-2", 100 };
+
+uint16_t
+FreePort()
+{
+  asio::io_context io;
+  const asio::ip::tcp::acceptor acceptor(
+    io, { asio::ip::address_v4::loopback(), 0 });
+  return acceptor.local_endpoint().port();
+}
+
+NodeSettings
+MakeSettings(uint16_t aMeshPort)
+{
+  NodeSettings settings;
+  settings.address = "127.0.0.1";
+  settings.failureDomain = "north";
+  settings.region = "region";
+  settings.service = "stock";
+  settings.targetAddress = "127.0.0.1:1";
+  settings.clientAddress = "127.0.0.1:" + std::to_string(FreePort());
+  settings.firstInternalPort = aMeshPort;
+  return settings;
+}
+
+/// One process of a daemon, without its control thread.
+class Process
+{
+public:
+  Process(uint16_t aMeshPort, uint64_t aIncarnation)
+    : m_metrics(m_registry)
+    , m_node(
+        m_io,
+        MakeSettings(aMeshPort),
+        {},
+        aIncarnation,
+        m_metrics,
+        { .onConfig = [](uint64_t, const std::string&) {},
+          .onLocalMember = [](const mesh::Member&) {},
+          .onEarlierLeave =
+            [this](const TargetRun& aRun) { m_earlierLeaves.push_back(aRun); },
+          .onTargetLeaving =
+            [this](const TargetRun& aRun) { m_leaves.push_back(aRun); },
+          .onStoreGeneration =
+            [this](uint64_t aGeneration) { m_generation = aGeneration; },
+          .onWatchStore = [](bool) {} })
+  {
+    EXPECT_TRUE(IsOk(m_node.Listen()));
+  }
+  ~Process() { m_io.stop(); }
+  Process(const Process&) = delete;
+  Process& operator=(const Process&) = delete;
+
+  void RunFor(int aMs)
+  {
+    m_io.restart();
+    m_io.run_for(milliseconds(aMs));
+  }
+
+  asio::io_context m_io;
+  observability::MetricsRegistry m_registry;
+  TrafficMetrics m_metrics;
+  std::vector<TargetRun> m_earlierLeaves;
+  std::vector<TargetRun> m_leaves;
+  uint64_t m_generation = 0;
+  TrafficNode m_node;
+};
+
+/// Runs both processes until aCondition holds. Returns false after 10 s, since
+/// a link needs up to 3 s to notice that its peer was replaced.
+template<typename Condition>
+bool
+RunUntil(Process& aFirst, Process& aSecond, Condition aCondition)
+{
+  const TimePoint end = BootNow() + std::chrono::seconds(10);
+  while (BootNow() < end && !aCondition()) {
+    aFirst.RunFor(5);
+    aSecond.RunFor(5);
+  }
+  return aCondition();
+}
+
+targets::TargetNotice
+LeavingNotice()
+{
+  targets::TargetNotice notice;
+  notice.leaving = true;
+  return notice;
+}
+
+// Guards against a leave that a response stated and that an older state of the
+// control thread undoes.
+TEST(TrafficNodeTest, OlderControlStateKeepsALeaveSeenInAResponse)
+{
+  Process process(FreePort(), 1);
+  process.m_node.OnTargetCondition(kRun, LeavingNotice());
+  EXPECT_EQ(process.m_leaves, std::vector<TargetRun>{ kRun });
+  process.m_node.SetTarget({ kRun, true, 4, {} }, kEarlierRun);
+  EXPECT_EQ(process.m_node.Self().leavingTarget, kRun);
+}
+
+// Guards against a leave that is lost when the process that was told of it ends
+// before it has told anybody.
+TEST(TrafficNodeTest, EachNewProcessOfAPeerLearnsThatItsTargetLeft)
+{
+  const uint16_t peerPort = FreePort();
+  Process local(FreePort(), 1);
+  {
+    Process first(peerPort, 2);
+    first.m_node.OnTargetCondition(kRun, LeavingNotice());
+    local.m_node.AddMembers({ first.m_node.Self() });
+    ASSERT_TRUE(
+      RunUntil(local, first, [&local] { return local.m_node.LinksUp() == 1; }));
+  }
+  for (const uint64_t incarnation : { 3U, 4U }) {
+    // Start times of processes of one address differ.
+    std::this_thread::sleep_for(milliseconds(2));
+    Process next(peerPort, incarnation);
+    EXPECT_TRUE(
+      RunUntil(local, next, [&next] { return !next.m_earlierLeaves.empty(); }))
+      << incarnation;
+    EXPECT_EQ(next.m_earlierLeaves, std::vector<TargetRun>{ kRun });
+  }
+}
+
+} // namespace
+} // namespace wagtailbend::node
