Test reads of a restored store that lacks a version

- A watcher whose version the restored store does not have (410) reads the table again, and sees later changes.
- A daemon that hears of a generation from a peer passes it on once, and an older configuration replaces none.

No logic changed.

--- a/wagtailbend/node/config_watcher_test.cc
+++ b/wagtailbend/node/config_watcher_test.cc
@@ -35,14 +35,17 @@
   {
     const std::lock_guard lock(m_mutex);
     m_row = { kKey, aVersion, std::to_string(aVersion) };
+    m_newestVersion = aVersion;
     m_changed.notify_all();
   }
   /// Restores the store, in which the configuration was then written again
-  /// with a lower version of the row. Waiting calls return without a change.
-  void Restore(uint64_t aVersion, uint64_t aRowVersion)
+  /// with a lower version of the row. Waiting calls return without a change, or
+  /// with kHistoryLost if the store does not have their version.
+  void Restore(uint64_t aVersion, uint64_t aRowVersion, uint64_t aNewestVersion)
   {
     const std::lock_guard lock(m_mutex);
     m_row = { kKey, aRowVersion, std::to_string(aVersion) };
+    m_newestVersion = aNewestVersion;
     ++m_generation;
     m_changed.notify_all();
   }
@@ -61,6 +64,9 @@
         return m_row.version > aVersion || m_generation != generation ||
                m_interrupted;
       });
+    if (aVersion > m_newestVersion) {
+      return Error{ ErrorKind::kHistoryLost, "no such version" };
+    }
     store::TableChanges changes;
     changes.version = m_row.version;
     changes.generation = m_generation;
@@ -86,6 +92,7 @@
   std::condition_variable m_changed;
   uint64_t m_generation = 1;
   store::Row m_row{ kKey, 1, "1" };
+  uint64_t m_newestVersion = 1;
   bool m_interrupted = false;
 };
 
@@ -166,10 +173,26 @@
   m_watcher.Start();
   ASSERT_TRUE(WaitForVersion(5, 1000));
   EXPECT_EQ(m_generation, 1U);
-  m_platform.Restore(/*aVersion=*/7, /*aRowVersion=*/2);
+  m_platform.Restore(
+    /*aVersion=*/7, /*aRowVersion=*/2, /*aNewestVersion=*/6);
   EXPECT_TRUE(WaitForVersion(7, 1000));
   EXPECT_EQ(m_generation, 2U);
 }
 
+// Guards against a watcher that goes on asking for the changes after a version
+// that the restored store does not have.
+TEST_F(ConfigWatcherTest, ReadsTheTableWhenARestoredStoreLacksItsVersion)
+{
+  m_platform.Put(5);
+  m_watcher.Start();
+  ASSERT_TRUE(WaitForVersion(5, 1000));
+  m_platform.Restore(
+    /*aVersion=*/4, /*aRowVersion=*/2, /*aNewestVersion=*/2);
+  EXPECT_TRUE(WaitForVersion(4, 1000));
+  m_platform.Put(6);
+  EXPECT_TRUE(WaitForVersion(6, 1000));
+  EXPECT_FALSE(m_lost);
+}
+
 } // namespace
 } // namespace wagtailbend::node
--- a/wagtailbend/node/traffic_node_test.cc
+++ b/wagtailbend/node/traffic_node_test.cc
@@ -142,5 +142,33 @@
   }
 }
 
+// Guards against daemons that do not watch the store and so never hear that it
+// was restored.
+TEST(TrafficNodeTest, PeersLearnANewerGenerationOfTheStore)
+{
+  Process watcher(FreePort(), 1);
+  Process other(FreePort(), 2);
+  watcher.m_node.SetStoreGeneration(3);
+  other.m_node.AddMembers({ watcher.m_node.Self() });
+  EXPECT_TRUE(
+    RunUntil(watcher, other, [&other] { return other.m_generation == 3; }));
+  other.m_node.SetStoreGeneration(2);
+  EXPECT_EQ(other.m_generation, 3U);
+}
+
+// Guards against an older configuration, for example one that a restored store
+// holds, that replaces the one in force.
+TEST(TrafficNodeTest, KeepsANewerConfiguration)
+{
+  Process process(FreePort(), 1);
+  routes::RouteConfig config;
+  config.version = 9;
+  process.m_node.SetConfig(config, "peer");
+  config.version = 4;
+  process.m_node.SetConfig(config, "store");
+  ASSERT_NE(process.m_node.Config(), nullptr);
+  EXPECT_EQ(process.m_node.Config()->version, 9U);
+}
+
 } // namespace
 } // namespace wagtailbend::node
