--- a/wagtailbend/emulator/emulator_test.cc
+++ b/wagtailbend/emulator/emulator_test.cc
@@ -123,9 +123,7 @@
             plain.routes[kOrder].ServedShare() + 0.1);
 }
 
-// Load: three of four targets of a service name a limit; the fourth has room
-// for what is left. Guards against rejecting at the entry what the fourth could
-// run.
+// Guards against rejecting requests that the unlimited target could run.
 TEST(EmulatorTest, LimitedTargetsLeaveTheirServiceOpen)
 {
   const Outcome outcome =
--- a/wagtailbend/exchange/service_levels_test.cc
+++ b/wagtailbend/exchange/service_levels_test.cc
@@ -20,8 +20,7 @@
   EXPECT_EQ(levels.At(kStart + std::chrono::minutes(1))[3], 1);
 }
 
-// Guards against callers that reject what the targets without a limit have room
-// for, and against callers that reject nothing although all are limited.
+// Guards against rejecting too much, or nothing if all targets are limited.
 TEST(ServiceLevelsTest, LimitedTargetStandsForItsServiceOnlyIfAllAreLimited)
 {
   EXPECT_FALSE(IsRepresentative(true, true));
--- a/wagtailbend/exchange/target_gateway_test.cc
+++ b/wagtailbend/exchange/target_gateway_test.cc
@@ -486,8 +486,7 @@
   EXPECT_EQ(server.AcceptedConnections(), 2U);
 }
 
-// Guards against requests for a target that says that it is leaving, and
-// against leaving out the one that replaces it.
+// Guards against using a leaving target, and against excluding its successor.
 TEST_F(TargetGatewayTest, ATargetThatIsLeavingGetsNoNewRequests)
 {
   m_server.AddResponse(Ok("x", "Seal: s\r\nLeaving: 1\r\n"));
@@ -511,8 +510,7 @@
   EXPECT_TRUE(m_gateway->IsAccepting());
 }
 
-// Guards against a response of a target that ended, or of no target, that
-// limits the present one or takes it out of service.
+// Guards against applying the response of another run to the present one.
 TEST_F(TargetGatewayTest, OnlyTheAddressedRunDescribesItsCondition)
 {
   m_server.AddResponse("HTTP/1.1 421 No\r\nId: {id}\r\nLimit: 1\r\n"
--- a/wagtailbend/gate/rate_limiter_test.cc
+++ b/wagtailbend/gate/rate_limiter_test.cc
@@ -37,8 +37,7 @@
 class Rate : public ::testing::TestWithParam<RateCase>
 {};
 
-// Guards against a rate above the limit, and against capacity that is lost
-// between two steps of the queue.
+// Guards against exceeding the limit, and against losing unused capacity.
 TEST_P(Rate, MatchesTheLimitOverFourSeconds)
 {
   RateLimiter limiter;
@@ -79,8 +78,7 @@
   EXPECT_TRUE(limiter.TryTake(kStart + milliseconds(201)));
 }
 
-// Guards against tokens that are granted anew with each response that names the
-// limit.
+// Guards against granting a token whenever a response repeats the limit.
 TEST(RateLimiterTest, RepeatedLimitGrantsNoTokens)
 {
   RateLimiter limiter;
--- a/wagtailbend/gate/target_queue_test.cc
+++ b/wagtailbend/gate/target_queue_test.cc
@@ -255,8 +255,7 @@
   EXPECT_NEAR(started, 40, 2);
 }
 
-// Guards against requests that wait at a limited target until they are late
-// instead of being rejected on arrival.
+// Guards against queueing requests that the limit makes too late.
 TEST_F(TargetQueueTest, RejectsOnArrivalWhatALimitDelaysTooLong)
 {
   m_queue.SetRateLimit(10, m_now);
@@ -295,8 +294,7 @@
   EXPECT_EQ(m_queue.Advance(m_now + milliseconds(210)).size(), 1U);
 }
 
-// Guards against a daemon that fills all slots of a target, after a restart,
-// before the first response tells it the limit.
+// Guards against filling all slots before the limit is known.
 TEST_F(TargetQueueTest, FewRequestsRunUntilTheRateLimitIsKnown)
 {
   m_queue.ForgetRateLimit(m_now);
--- a/wagtailbend/node/config_watcher_test.cc
+++ b/wagtailbend/node/config_watcher_test.cc
@@ -164,9 +164,7 @@
   EXPECT_TRUE(WaitForVersion(5, 1000));
 }
 
-// Guards against a change that is never read since its version, given out
-// twice, is not above the last one read from the store as it was before a
-// restore.
+// Guards against missing a change because its version was given out before.
 TEST_F(ConfigWatcherTest, ReadsAChangeWhoseVersionWasGivenOutBeforeARestore)
 {
   m_platform.Put(5);
@@ -179,8 +177,7 @@
   EXPECT_EQ(m_generation, 2U);
 }
 
-// Guards against a watcher that goes on asking for the changes after a version
-// that the restored store does not have.
+// Guards against waiting for changes after a version that is gone.
 TEST_F(ConfigWatcherTest, ReadsTheTableWhenARestoredStoreLacksItsVersion)
 {
   m_platform.Put(5);
--- a/wagtailbend/node/member_store_test.cc
+++ b/wagtailbend/node/member_store_test.cc
@@ -164,8 +164,7 @@
   EXPECT_EQ(Stored(kLocalAddress)->leavingTarget, member.leavingTarget);
 }
 
-// Guards against a row that is gone, with the leave in it, until the next
-// process writes one.
+// Guards against a daemon whose row is missing until it restarts.
 TEST_F(MemberStoreTest, WritesItsRowAgainWhenARestoreUndidIt)
 {
   mesh::Member member = MakeMember(kLocalAddress, 1);
@@ -183,8 +182,7 @@
   EXPECT_TRUE(WaitFor([this] { return m_members.size() == 2; }));
 }
 
-// Guards against hundreds of daemons that all read all rows at the same moment,
-// although the restore did not concern their own.
+// Guards against all daemons reading all rows at once after a restore.
 TEST_F(MemberStoreTest, OnlyReadsItsRowAfterARestoreThatKeptIt)
 {
   m_store.Put(MakeMember(kLocalAddress, 1), nullptr);
@@ -200,8 +198,7 @@
   EXPECT_EQ(m_platform.TotalCount(), calls + 1);
 }
 
-// Guards against a daemon that starts later and does not find this one, whose
-// row a peer deleted by mistake.
+// Guards against a row that a peer deleted by mistake and nobody restores.
 TEST_F(MemberStoreTest, WritesItsRowAgainWhenAReadDoesNotShowIt)
 {
   Faults faults;
@@ -217,8 +214,7 @@
   EXPECT_TRUE(WaitFor([this] { return Stored(kLocalAddress).has_value(); }));
 }
 
-// Guards against taking the older row that a restore brought back for what this
-// process stored last, and with it an older leave.
+// Guards against replacing a leave by the older one of a restored row.
 TEST_F(MemberStoreTest, KeepsItsLeaveWhenARestoreBringsBackAnOlderRow)
 {
   mesh::Member member = MakeMember(kLocalAddress, 1);
@@ -239,8 +235,7 @@
   EXPECT_EQ(Stored(kLocalAddress)->leavingTarget, member.leavingTarget);
 }
 
-// Guards against deleting the row of a running peer because it was written
-// again after a restore and got the version of the row that was read.
+// Guards against deleting a newer row that got the version of an older one.
 TEST_F(MemberStoreTest, KeepsAPeerRowWhoseVersionWasGivenOutTwice)
 {
   m_store.Put(MakeMember(kLocalAddress, 1), nullptr);
--- a/wagtailbend/node/traffic_node_test.cc
+++ b/wagtailbend/node/traffic_node_test.cc
@@ -107,8 +107,7 @@
   return notice;
 }
 
-// Guards against a leave that a response stated and that an older state of the
-// control thread undoes.
+// Guards against an older control state that undoes a leave.
 TEST(TrafficNodeTest, OlderControlStateKeepsALeaveSeenInAResponse)
 {
   Process process(FreePort(), 1);
@@ -118,8 +117,7 @@
   EXPECT_EQ(process.m_node.Self().leavingTarget, kRun);
 }
 
-// Guards against a leave that is lost when the process that was told of it ends
-// before it has told anybody.
+// Guards against losing a leave with a process that ends early.
 TEST(TrafficNodeTest, EachNewProcessOfAPeerLearnsThatItsTargetLeft)
 {
   const uint16_t peerPort = FreePort();
@@ -142,8 +140,7 @@
   }
 }
 
-// Guards against daemons that do not watch the store and so never hear that it
-// was restored.
+// Guards against daemons that never hear of a restore.
 TEST(TrafficNodeTest, PeersLearnANewerGenerationOfTheStore)
 {
   Process watcher(FreePort(), 1);
@@ -156,8 +153,7 @@
   EXPECT_EQ(other.m_generation, 3U);
 }
 
-// Guards against an older configuration, for example one that a restored store
-// holds, that replaces the one in force.
+// Guards against replacing the configuration by an older one.
 TEST(TrafficNodeTest, KeepsANewerConfiguration)
 {
   Process process(FreePort(), 1);
--- a/wagtailbend/targets/target_condition_test.cc
+++ b/wagtailbend/targets/target_condition_test.cc
@@ -60,8 +60,7 @@
   EXPECT_EQ(condition.State().requestsPerSecond, 4);
 }
 
-// Guards against requests for a leaving target after one response that does not
-// say so.
+// Guards against taking a response without a leave for its end.
 TEST(TargetConditionTest, LeavingEndsWithTheRunOnly)
 {
   TargetCondition condition;
--- a/wagtailbend/targets/target_state_test.cc
+++ b/wagtailbend/targets/target_state_test.cc
@@ -127,8 +127,7 @@
   EXPECT_TRUE(state.View().accepting);
 }
 
-// Guards against forgetting a leave that comes before any heartbeat, and
-// against taking the leave of an earlier run for the latest one.
+// Guards against reporting an earlier leave, or none before a heartbeat.
 TEST(TargetStateTest, LatestLeaveIncludesTargetsWithoutHeartbeat)
 {
   TargetState state;
@@ -141,8 +140,7 @@
   EXPECT_EQ(state.LatestLeave(), (TargetRun{ "c", 100 }));
 }
 
-// Guards against losing the leave of a target whose announcements name no start
-// time.
+// Guards against losing the leave of a target without a start time.
 TEST(TargetRunTest, AnyRunIsLaterThanNone)
 {
   EXPECT_TRUE(IsLater({ "a", 0 }, {}));
