--- a/testing/fault_proxy.cc
+++ b/testing/fault_proxy.cc
@@ -113,7 +113,8 @@
 FaultProxy::FaultProxy(const std::string& aHost, const std::string& aTarget)
   : m_target(EndpointOf(aTarget))
   , m_acceptor(m_io, tcp::endpoint(asio::ip::make_address(aHost), 0))
-  , m_address(aHost + ":" + std::to_string(m_acceptor.local_endpoint().port()))
+  , m_endpoint(m_acceptor.local_endpoint())
+  , m_address(aHost + ":" + std::to_string(m_endpoint.port()))
 {
   Accept();
   m_thread = std::thread([this] { m_io.run(); });
@@ -133,15 +134,31 @@
     const std::vector<std::shared_ptr<Session>> sessions(m_sessions.begin(),
                                                          m_sessions.end());
     for (const auto& session : sessions) {
-      if (aFault == ProxyFault::kReset) {
+      if (aFault == ProxyFault::kReset || aFault == ProxyFault::kRefuse) {
         session->End(true);
       } else if (aFault == ProxyFault::kSilent) {
         session->Silence();
       }
     }
+    if (aFault == ProxyFault::kRefuse) {
+      std::error_code ignored;
+      m_acceptor.close(ignored);
+    } else if (!m_acceptor.is_open()) {
+      Listen();
+    }
   });
 }
 
+void
+FaultProxy::Listen()
+{
+  m_acceptor.open(m_endpoint.protocol());
+  m_acceptor.set_option(asio::socket_base::reuse_address(true));
+  m_acceptor.bind(m_endpoint);
+  m_acceptor.listen();
+  Accept();
+}
+
 void
 FaultProxy::Accept()
 {
@@ -152,7 +169,9 @@
         m_sessions.insert(session);
         session->Start();
       }
-      Accept();
+      if (m_acceptor.is_open()) {
+        Accept();
+      }
     });
 }
 
--- a/testing/fault_proxy.h
+++ b/testing/fault_proxy.h
@@ -31,8 +31,13 @@
   kCutDown,
   /// Open connections pass nothing for good; later ones pass.
   kSilent,
+  /// Open connections are reset and new ones refused, as by a process that has
+  /// ended.
+  kRefuse,
 };
 
+/// Number of faults in which connections or bytes are lost although the server
+/// runs; kRefuse is not one of them.
 inline constexpr size_t kProxyFaults = 6;
 
 /// Set is thread-safe.
@@ -52,10 +57,12 @@
   class Session;
 
   void Accept();
+  void Listen();
 
   asio::io_context m_io;
   const asio::ip::tcp::endpoint m_target;
   asio::ip::tcp::acceptor m_acceptor;
+  const asio::ip::tcp::endpoint m_endpoint;
   const std::string m_address;
   std::atomic<ProxyFault> m_fault{ ProxyFault::kNone };
   std::set<std::shared_ptr<Session>> m_sessions;
