--- a/wagtailbend/exchange/target_gateway.cc
+++ b/wagtailbend/exchange/target_gateway.cc
@@ -525,6 +525,10 @@
     ++m_counts.invalidResponses;
     m_observer.OnInvalidResponse(pending.attempt, aFailure);
   }
+  if (!timedOut && !invalid && aFailure.requestSent) {
+    ++m_counts.lost;
+    m_observer.OnAttemptLost(pending.attempt, pending.connectionReused);
+  }
   // The target may have closed an idle connection just before the request was
   // sent.
   const bool staleConnection =
--- a/wagtailbend/exchange/target_gateway.h
+++ b/wagtailbend/exchange/target_gateway.h
@@ -66,6 +66,8 @@
   /// Called when the target rejected a request without running it. Returns true
   /// if the retry budget allows sending the request to it again.
   virtual bool TryTakeRetry(const Attempt& aAttempt) = 0;
+  /// A connection was lost after the request was sent on it.
+  virtual void OnAttemptLost(const Attempt& aAttempt, bool aKeptConnection) = 0;
   /// The target answered with bytes that are no acceptable response, or with
   /// too many. The connection has been closed.
   virtual void OnInvalidResponse(const Attempt& aAttempt,
@@ -88,6 +90,8 @@
   uint64_t rejectedByTarget = 0;
   uint64_t retriedLocally = 0;
   uint64_t unknown = 0;
+  /// Times that a connection was lost after the request was sent.
+  uint64_t lost = 0;
   uint64_t overloaded = 0;
   uint64_t deadlineTooShort = 0;
   uint64_t failedConnects = 0;
--- a/wagtailbend/exchange/testing/fakes.h
+++ b/wagtailbend/exchange/testing/fakes.h
@@ -41,6 +41,10 @@
     return aFingerprint != m_blockedFingerprint;
   }
   bool TryTakeRetry(const Attempt&) override { return m_allowedRetries-- > 0; }
+  void OnAttemptLost(const Attempt&, bool aKeptConnection) override
+  {
+    m_lostOnKeptConnection.push_back(aKeptConnection);
+  }
   void OnInvalidResponse(const Attempt&,
                          const http1::NoResponse& aFailure) override
   {
@@ -59,6 +63,7 @@
   }
 
   std::vector<uint64_t> m_crashedFingerprints;
+  std::vector<bool> m_lostOnKeptConnection;
   std::vector<http1::FailureReason> m_invalidResponses;
   std::vector<targets::TargetNotice> m_conditions;
   std::optional<uint64_t> m_blockedFingerprint;
--- a/wagtailbend/node/traffic_log.cc
+++ b/wagtailbend/node/traffic_log.cc
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 #include <fmt/ranges.h>
 
+#include "wagtailbend/base/ids.h"
 #include "wagtailbend/observability/event_log.h"
 
 namespace wagtailbend::node {
@@ -72,6 +73,22 @@
     .Warn();
 }
 
+void
+TrafficLog::LogLostAttempt(const exchange::Attempt& aAttempt,
+                           bool aKeptConnection,
+                           TimePoint aNow)
+{
+  if (!m_lostLimiter.Admit(aNow)) {
+    return;
+  }
+  observability::Event("attempt_lost")
+    .Add("request", aAttempt.requestId)
+    .Add("path", aAttempt.message->target)
+    .Add("fingerprint", ToHex(aAttempt.fingerprint))
+    .Add("connection", aKeptConnection ? "kept" : "new")
+    .Info();
+}
+
 void
 TrafficLog::LogSuppressedCounts(TimePoint aNow)
 {
@@ -82,13 +99,15 @@
   const uint64_t responded = m_respondedLimiter.TakeSuppressed();
   const uint64_t failed = m_failedLimiter.TakeSuppressed();
   const uint64_t invalid = m_invalidResponseLimiter.TakeSuppressed();
-  if (responded + failed + invalid == 0) {
+  const uint64_t lost = m_lostLimiter.TakeSuppressed();
+  if (responded + failed + invalid + lost == 0) {
     return;
   }
   observability::Event("request_lines_left_out")
     .Add("answered", responded)
     .Add("failed", failed)
     .Add("invalid", invalid)
+    .Add("lost", lost)
     .Info();
 }
 
--- a/wagtailbend/node/traffic_log.h
+++ b/wagtailbend/node/traffic_log.h
@@ -19,6 +19,10 @@
   void LogInvalidResponse(const exchange::Attempt& aAttempt,
                           const http1::NoResponse& aFailure,
                           TimePoint aNow);
+  /// Logs an attempt whose connection was lost after the request was sent.
+  void LogLostAttempt(const exchange::Attempt& aAttempt,
+                      bool aKeptConnection,
+                      TimePoint aNow);
   /// Logs the numbers of suppressed lines, at most once per second.
   void LogSuppressedCounts(TimePoint aNow);
 
@@ -28,6 +32,7 @@
   observability::EventRateLimiter m_respondedLimiter{ 5 };
   observability::EventRateLimiter m_failedLimiter{ 40 };
   observability::EventRateLimiter m_invalidResponseLimiter{ 5 };
+  observability::EventRateLimiter m_lostLimiter{ 5 };
   TimePoint m_suppressedLoggedAt{};
 };
 
--- a/wagtailbend/node/traffic_metrics.cc
+++ b/wagtailbend/node/traffic_metrics.cc
@@ -36,6 +36,9 @@
     { "wb_target_unknown",
       "Requests with unknown outcome.",
       &m_unknownOutcomes },
+    { "wb_target_lost",
+      "Times that a connection was lost after the request was sent.",
+      &m_lost },
     { "wb_target_invalid_responses",
       "Attempts that ended because of invalid response bytes.",
       &m_invalidResponses },
@@ -99,6 +102,7 @@
   m_sent = static_cast<double>(aCounts.sent);
   m_rejectedByTarget = static_cast<double>(aCounts.rejectedByTarget);
   m_unknownOutcomes = static_cast<double>(aCounts.unknown);
+  m_lost = static_cast<double>(aCounts.lost);
   m_invalidResponses = static_cast<double>(aCounts.invalidResponses);
   m_connects = static_cast<double>(aCounts.connects);
 }
--- a/wagtailbend/node/traffic_metrics.h
+++ b/wagtailbend/node/traffic_metrics.h
@@ -43,6 +43,7 @@
   std::atomic<double> m_sent{ 0 };
   std::atomic<double> m_rejectedByTarget{ 0 };
   std::atomic<double> m_unknownOutcomes{ 0 };
+  std::atomic<double> m_lost{ 0 };
   std::atomic<double> m_invalidResponses{ 0 };
   std::atomic<double> m_connects{ 0 };
 };
--- a/wagtailbend/node/traffic_node.cc
+++ b/wagtailbend/node/traffic_node.cc
@@ -6,6 +6,7 @@
 #include <fmt/format.h>
 
 #include "wagtailbend/base/boot_time.h"
+#include "wagtailbend/base/ids.h"
 #include "wagtailbend/mesh/convert.h"
 #include "wagtailbend/net/socket_options.h"
 #include "wagtailbend/node/store_watch.h"
@@ -75,6 +76,18 @@
   return aService + '\n' + aRoute;
 }
 
+/// Returns the first few fingerprints, separated by commas.
+std::string
+FormatFingerprints(const std::vector<uint64_t>& aFingerprints)
+{
+  constexpr size_t kMaxLogged = 8;
+  std::string text;
+  for (size_t i = 0; i < std::min(aFingerprints.size(), kMaxLogged); ++i) {
+    text += (i == 0 ? "" : ",") + ToHex(aFingerprints[i]);
+  }
+  return text;
+}
+
 exchange::GatewayOptions
 MakeGatewayOptions(const NodeSettings& aSettings)
 {
@@ -616,7 +629,10 @@
     entries.push_back(entry);
   }
   m_quarantine.Merge(entries, BootNow());
-  Event("crash_suspects").Add("count", entries.size()).Info();
+  Event("crash_suspects")
+    .Add("count", entries.size())
+    .Add("known", m_quarantine.Size())
+    .Info();
 }
 
 void
@@ -793,7 +809,10 @@
 void
 TrafficNode::OnTargetCrashed(const std::vector<uint64_t>& aFingerprints)
 {
-  Event("target_died").Add("in_flight", aFingerprints.size()).Warn();
+  Event("target_died")
+    .Add("in_flight", aFingerprints.size())
+    .Add("fingerprints", FormatFingerprints(aFingerprints))
+    .Warn();
   SendCrashSuspects(
     m_quarantine.OnTargetCrashed(aFingerprints, BootNow(), m_rng));
 }
@@ -842,6 +861,13 @@
     m_settings.service, exchange::ClaimOf(aAttempt), BootNow());
 }
 
+void
+TrafficNode::OnAttemptLost(const exchange::Attempt& aAttempt,
+                           bool aKeptConnection)
+{
+  m_log.LogLostAttempt(aAttempt, aKeptConnection, BootNow());
+}
+
 void
 TrafficNode::OnInvalidResponse(const exchange::Attempt& aAttempt,
                                const http1::NoResponse& aFailure)
--- a/wagtailbend/node/traffic_node.h
+++ b/wagtailbend/node/traffic_node.h
@@ -134,6 +134,8 @@
   void OnTargetCrashed(const std::vector<uint64_t>& aFingerprints) override;
   bool BeginRun(uint64_t aFingerprint) override;
   bool TryTakeRetry(const exchange::Attempt& aAttempt) override;
+  void OnAttemptLost(const exchange::Attempt& aAttempt,
+                     bool aKeptConnection) override;
   void OnInvalidResponse(const exchange::Attempt& aAttempt,
                          const http1::NoResponse& aFailure) override;
   void OnTargetCondition(const targets::TargetRun& aRun,
