Give a request one fingerprint at all daemons

What callers saw: a lookup that had crashed two targets of a service, and was rejected as quarantined there, crashed more targets when it was sent again through VMs of another service.

Cause: the fingerprint of crash suspects contained the service of the entry daemon. Evidence: in one run of users_crashing_request_test the same lookup had two fingerprints, one through VM 0 to 6 and one through VM 7 to 9.

Whether a request crashes its target depends on its path and body, so the entry daemon is left out. Clients that return are recognized at one daemon only, where the service is the same for all of them.

The test failed before (TheFingerprintDoesNotDependOnTheEntryDaemon).

--- a/wagtailbend/exchange/request_dispatcher.cc
+++ b/wagtailbend/exchange/request_dispatcher.cc
@@ -168,9 +168,8 @@
   request->service = m_splits.Pick(*request->route, m_rng);
   SetTimes(*request, now);
   InheritFromParent(*request);
-  const std::string& target = request->message->target;
-  request->fingerprint = quarantine::FingerprintOf(
-    target, request->message->body + m_options.localService);
+  request->fingerprint = quarantine::FingerprintOf(request->message->target,
+                                                   request->message->body);
   RecognizeRetryingClient(*request, now);
   if (!m_observer.IsRunAllowed(request->fingerprint)) {
     Reject(request,
--- a/wagtailbend/exchange/request_dispatcher_test.cc
+++ b/wagtailbend/exchange/request_dispatcher_test.cc
@@ -7,6 +7,7 @@
 
 #include "wagtailbend/base/boot_time.h"
 #include "wagtailbend/exchange/testing/fakes.h"
+#include "wagtailbend/quarantine/quarantine_list.h"
 
 namespace wagtailbend::exchange {
 namespace {
@@ -510,5 +511,15 @@
   EXPECT_TRUE(Channel(0).m_attempts.empty());
 }
 
+// Guards against daemons of different services that do not recognize each
+// other's crash suspects.
+TEST_F(EntryTest, TheFingerprintDoesNotDependOnTheEntryDaemon)
+{
+  Request("/lookup/1");
+  ASSERT_EQ(Channel(0).m_attempts.size(), 1U);
+  EXPECT_EQ(Channel(0).m_attempts[0].fingerprint,
+            quarantine::FingerprintOf("/lookup/1", ""));
+}
+
 } // namespace
 } // namespace wagtailbend::exchange
