Hold the result of a lost attempt until a crash of the target is known

What callers saw: a lookup that crashes its targets was sent to one target after another, within milliseconds and without a limit; none of them reported it.

Cause: a lookup that was lost on a kept connection was sent again on a new one, as if the target had closed an idle connection. The crashed target refused that connection, and the attempt ended as "not run" and "not reached", which also costs no retry budget: four targets in 3 ms. Where the crash was reported, the result had been passed on 48 to 107 ms before, so that the entry daemon or the client had sent the request on by then.

The gateway now holds the result of an attempt whose connection was lost until a connect (50 ms after the loss) or a response shows whether the target is alive. If it crashed, the suspects are reported before the results are passed on, and an attempt that was sent is never "not run". A resend on a new connection asks the quarantine first. A new run of the target also shows a crash.

Ruled out: skipping the resend for all lookups, which would fail lookups whenever a live target closes an idle connection.

Two existing tests: the target of DetectsACrashWithoutFurtherRequests now stops listening at once, not after the result, which comes later; in ReportsRequestsThatRanAtACrash the gateway first sees that the probed connection was closed. Both check what they checked.

Tests: seven of eight new cases in exchange_test failed before.

--- a/wagtailbend/exchange/target_gateway.cc
+++ b/wagtailbend/exchange/target_gateway.cc
@@ -34,7 +34,10 @@
 constexpr Duration kCrashDetectionWindow = std::chrono::seconds(2);
 // Time from a lost connection to the probe of the target. A crashing process
 // closes its connections first and its listening socket within milliseconds.
-constexpr Duration kProbeDelay = std::chrono::milliseconds(100);
+constexpr Duration kProbeDelay = std::chrono::milliseconds(50);
+// Responses that arrive within this time after a lost connection may have been
+// sent before a crash.
+constexpr Duration kCrashSettleTime = std::chrono::milliseconds(20);
 // Tolerance for matching the deadline of a nested call with that of its parent:
 // the time between two messages within a VM.
 constexpr int64_t kParentToleranceMs = 4;
@@ -73,6 +76,7 @@
 TargetGateway::SetTarget(const targets::TargetView& aView)
 {
   const bool newRun = aView.run != m_view.run;
+  const bool restarted = newRun && m_view.accepting;
   m_view = aView;
   m_queue.SetSlots(aView.slots);
   if (newRun) {
@@ -84,6 +88,10 @@
       --m_openConnections;
     }
   }
+  if (restarted) {
+    // It may have crashed and started again before a connect failed.
+    ReportCrash();
+  }
   if (!m_view.accepting) {
     RejectQueued(ErrorKind::kDraining, "target is draining");
   }
@@ -216,6 +224,7 @@
          aNow - m_lostRequests.front().first > kCrashDetectionWindow) {
     m_lostRequests.pop_front();
   }
+  ReleaseLostAttempts(m_lastActivity - kCrashSettleTime, true);
   ProbeIfSilent(aNow);
   // Connections are taken from the end of the pool, so the longest idle ones
   // are at the front.
@@ -526,23 +535,99 @@
     m_observer.OnInvalidResponse(pending.attempt, aFailure);
   }
   if (!timedOut && !invalid && aFailure.requestSent) {
-    ++m_counts.lost;
-    m_observer.OnAttemptLost(pending.attempt, pending.connectionReused);
+    HoldLostAttempt(aKey, aFailure);
+    return;
   }
   // The target may have closed an idle connection just before the request was
   // sent.
   const bool staleConnection =
-    pending.connectionReused && !aFailure.responseStarted && !timedOut &&
-    !invalid && (!aFailure.requestSent || pending.attempt.idempotent);
-  if (staleConnection) {
+    pending.connectionReused && !timedOut && !invalid && !aFailure.requestSent;
+  if (staleConnection && MayResend(pending)) {
     pending.connectionReused = false;
     m_queue.CountResend(BootNow());
     Connect(aKey);
     return;
   }
+  if (invalid) {
+    RecordLoss(pending);
+  }
+  CompleteLost(aKey, aFailure);
+}
+
+void
+TargetGateway::RecordLoss(const PendingAttempt& aPending)
+{
+  m_lastLossAt = BootNow();
+  m_lostRequests.emplace_back(m_lastLossAt, aPending.attempt.fingerprint);
+}
+
+void
+TargetGateway::HoldLostAttempt(uint64_t aKey, const http1::NoResponse& aFailure)
+{
+  PendingAttempt& pending = m_pending.at(aKey);
+  ++m_counts.lost;
+  m_observer.OnAttemptLost(pending.attempt, pending.connectionReused);
+  pending.mayHaveRun = true;
+  pending.lost = aFailure;
+  pending.lostAt = BootNow();
+  m_lostKeys.push_back(aKey);
+  RecordLoss(pending);
+}
+
+void
+TargetGateway::ReleaseLostAttempts(TimePoint aLostUntil, bool aTargetAlive)
+{
+  std::vector<uint64_t> released;
+  std::erase_if(m_lostKeys, [this, aLostUntil, &released](uint64_t aKey) {
+    const auto found = m_pending.find(aKey);
+    if (found != m_pending.end() && found->second.lostAt > aLostUntil) {
+      return false;
+    }
+    released.push_back(aKey);
+    return true;
+  });
+  for (const uint64_t key : released) {
+    ReleaseLostAttempt(key, aTargetAlive);
+  }
+}
+
+void
+TargetGateway::ReleaseLostAttempt(uint64_t aKey, bool aTargetAlive)
+{
+  const auto found = m_pending.find(aKey);
+  if (found == m_pending.end()) {
+    return;
+  }
+  PendingAttempt& pending = found->second;
+  const http1::NoResponse failure = *std::exchange(pending.lost, {});
+  // The target may have closed an idle connection just before the request
+  // arrived.
+  const bool staleConnection =
+    pending.connectionReused && !failure.responseStarted;
+  if (aTargetAlive && staleConnection && pending.attempt.idempotent &&
+      MayResend(pending)) {
+    pending.connectionReused = false;
+    m_queue.CountResend(BootNow());
+    Connect(aKey);
+    return;
+  }
+  CompleteLost(aKey, failure);
+}
+
+bool
+TargetGateway::MayResend(const PendingAttempt& aPending) const
+{
+  return m_observer.MayResend(aPending.attempt.fingerprint);
+}
+
+void
+TargetGateway::CompleteLost(uint64_t aKey, const http1::NoResponse& aFailure)
+{
+  const PendingAttempt& pending = m_pending.at(aKey);
+  const bool timedOut = aFailure.reason == http1::FailureReason::kTimeout;
   AttemptResult result;
-  result.reachedTarget = aFailure.requestSent;
-  if (!aFailure.requestSent) {
+  result.reachedTarget = aFailure.requestSent || pending.mayHaveRun;
+  if (!result.reachedTarget) {
     result.outcome = Outcome::kNotRun;
     result.error = { ErrorKind::kConnectionLost,
                      "connection lost before the request was sent" };
@@ -550,13 +635,11 @@
     ++m_counts.unknown;
     result.outcome = Outcome::kUnknown;
     result.error = { timedOut ? ErrorKind::kDeadlineExceeded
-                     : aFailure.responseStarted || invalid
+                     : aFailure.responseStarted ||
+                         http1::IsInvalidResponse(aFailure.reason)
                        ? ErrorKind::kResponseIncomplete
                        : ErrorKind::kConnectionLost,
                      std::string(http1::ToString(aFailure.reason)) };
-    if (!timedOut) {
-      m_lostRequests.emplace_back(BootNow(), pending.attempt.fingerprint);
-    }
   }
   RecordOutcome(true);
   Complete(aKey, std::move(result), false);
@@ -565,9 +648,9 @@
 void
 TargetGateway::ProbeIfSilent(TimePoint aNow)
 {
-  if (m_probe || m_lostRequests.empty() ||
-      m_lastActivity >= m_lostRequests.back().first ||
-      aNow - m_lostRequests.back().first < kProbeDelay) {
+  if (m_probe || (m_lostKeys.empty() && m_lostRequests.empty()) ||
+      m_lastActivity >= m_lastLossAt + kCrashSettleTime ||
+      aNow - m_lastLossAt < kProbeDelay) {
     return;
   }
   ++m_counts.connects;
@@ -583,6 +666,7 @@
       if (aConnected) {
         m_lastActivity = BootNow();
         KeepIdleConnection(probe);
+        ReleaseLostAttempts(m_lastActivity - kCrashSettleTime, true);
         return;
       }
       --m_openConnections;
@@ -596,24 +680,33 @@
 {
   ++m_counts.failedConnects;
   m_unreachableUntil = BootNow() + kUnreachableBackoff;
-  if (m_lostRequests.empty()) {
-    return;
-  }
+  ReportCrash();
+}
+
+void
+TargetGateway::ReportCrash()
+{
   std::vector<uint64_t> fingerprints;
   for (const auto& [at, fingerprint] : std::exchange(m_lostRequests, {})) {
     fingerprints.push_back(fingerprint);
   }
-  m_observer.OnTargetCrashed(fingerprints);
+  if (!fingerprints.empty()) {
+    m_observer.OnTargetCrashed(fingerprints);
+  }
+  // After the report, so that whoever gets a result knows the suspects.
+  ReleaseLostAttempts(TimePoint::max(), false);
 }
 
 void
 TargetGateway::OnConnectFailed(uint64_t aKey)
 {
-  RecordUnreachable();
+  PendingAttempt& pending = m_pending.at(aKey);
+  pending.connection.reset();
   AttemptResult result;
-  result.outcome = Outcome::kNotRun;
+  result.reachedTarget = pending.mayHaveRun;
+  result.outcome = pending.mayHaveRun ? Outcome::kUnknown : Outcome::kNotRun;
   result.error = { ErrorKind::kNoTarget, "target is unreachable" };
-  m_pending.at(aKey).connection.reset();
+  RecordUnreachable();
   Complete(aKey, std::move(result), false);
   RejectQueued(ErrorKind::kNoTarget, "target is unreachable");
 }
--- a/wagtailbend/exchange/target_gateway.h
+++ b/wagtailbend/exchange/target_gateway.h
@@ -63,6 +63,9 @@
   /// Returns false if the request must not run here now, because it is
   /// quarantined, or a crash suspect while another suspect runs.
   virtual bool BeginRun(uint64_t aFingerprint) = 0;
+  /// Returns false if the request has become a crash suspect, so that it must
+  /// not be sent to the target again without BeginRun.
+  virtual bool MayResend(uint64_t aFingerprint) = 0;
   /// Called when the target rejected a request without running it. Returns true
   /// if the retry budget allows sending the request to it again.
   virtual bool TryTakeRetry(const Attempt& aAttempt) = 0;
@@ -178,6 +181,12 @@
     /// GatewayObserver::BeginRun was called and returned true.
     bool runBegun = false;
     bool connectionReused = false;
+    /// The target may have run the request, although a connection to it was
+    /// lost.
+    bool mayHaveRun = false;
+    /// Set while the result is held.
+    std::optional<http1::NoResponse> lost;
+    TimePoint lostAt;
     bool nestedFailed = false;
     /// Retries after a rejection by the target.
     uint32_t rejections = 0;
@@ -201,6 +210,16 @@
                     const http1::Headers& aHeaders);
   bool TryRetryLocally(uint64_t aKey);
   void OnNoResponse(uint64_t aKey, const http1::NoResponse& aFailure);
+  void RecordLoss(const PendingAttempt& aPending);
+  /// Holds the result of an attempt whose connection was lost until it is known
+  /// whether the target crashed.
+  void HoldLostAttempt(uint64_t aKey, const http1::NoResponse& aFailure);
+  /// Ends the hold of attempts that were lost up to aLostUntil. If the target
+  /// is alive, those that it dropped with an idle connection are sent again.
+  void ReleaseLostAttempts(TimePoint aLostUntil, bool aTargetAlive);
+  void ReleaseLostAttempt(uint64_t aKey, bool aTargetAlive);
+  bool MayResend(const PendingAttempt& aPending) const;
+  void CompleteLost(uint64_t aKey, const http1::NoResponse& aFailure);
   void OnConnectFailed(uint64_t aKey);
   /// Opens a connection to detect a crash of the target, if a connection was
   /// lost and the target has not responded since.
@@ -208,6 +227,7 @@
   /// Handles a failed connect: recently lost requests count as running when the
   /// target crashed.
   void RecordUnreachable();
+  void ReportCrash();
   void Complete(uint64_t aKey, AttemptResult aResult, bool aRecordRunTime);
   void FinishQueued(uint64_t aKey, ErrorKind aKind, const char* aDetail);
   void RejectQueued(ErrorKind aKind, const char* aDetail);
@@ -243,6 +263,9 @@
   std::vector<ConnectionPtr> m_idle;
   size_t m_openConnections = 0;
   TimePoint m_unreachableUntil{};
+  /// Attempts whose result is held, in the order in which they were lost.
+  std::vector<uint64_t> m_lostKeys;
+  TimePoint m_lastLossAt{};
   /// Recent requests whose connection was lost; reported if the target crashed.
   std::deque<std::pair<TimePoint, uint64_t>> m_lostRequests;
   /// Time of the target's last response or accepted connection.
--- a/wagtailbend/exchange/target_gateway_test.cc
+++ b/wagtailbend/exchange/target_gateway_test.cc
@@ -99,8 +99,9 @@
   AttemptResult RunOne(const Attempt& aAttempt)
   {
     Start(aAttempt);
-    for (int i = 0; i < 150 && m_results.empty(); ++i) {
-      RunFor(10);
+    const TimePoint end = BootNow() + milliseconds(1500);
+    while (BootNow() < end && m_results.empty()) {
+      TickFor(1);
     }
     EXPECT_EQ(m_results.size(), 1U);
     return m_results.empty() ? AttemptResult{} : m_results.back();
@@ -213,6 +214,7 @@
   m_server.AddResponse("", After::kReset);
   RunOne(MakeAttempt(1, false));
   m_server.Stop();
+  RunFor(10);
   m_results.clear();
   RunOne(MakeAttempt(2, false));
   EXPECT_EQ(m_observer.m_crashedFingerprints, std::vector<uint64_t>{ 41 });
@@ -223,13 +225,110 @@
 TEST_F(TargetGatewayTest, DetectsACrashWithoutFurtherRequests)
 {
   m_server.AddResponse("", After::kReset);
-  RunOne(MakeAttempt(1, false));
+  Start(MakeAttempt(1, false));
+  RunFor(10);
   m_server.Stop();
   TickFor(200);
   EXPECT_EQ(m_observer.m_crashedFingerprints, std::vector<uint64_t>{ 41 });
   EXPECT_FALSE(m_gateway->Report("r").accepting);
 }
 
+struct CrashCase
+{
+  const char* name;
+  bool idempotent;
+  bool keptConnection;
+};
+
+class Crashes
+  : public TargetGatewayTest
+  , public ::testing::WithParamInterface<CrashCase>
+{};
+
+// Guards against a request that crashed its target and counts as not run.
+TEST_P(Crashes, MakeTheRunningRequestASuspect)
+{
+  if (GetParam().keptConnection) {
+    m_server.AddResponse(Ok("x"));
+    RunOne(MakeAttempt(1));
+    m_results.clear();
+  }
+  m_server.AddResponse("", After::kCrash);
+  const AttemptResult result = RunOne(MakeAttempt(2, GetParam().idempotent));
+  EXPECT_EQ(result.outcome, Outcome::kUnknown);
+  EXPECT_TRUE(result.reachedTarget);
+  EXPECT_EQ(m_observer.m_crashedFingerprints, std::vector<uint64_t>{ 42 });
+  EXPECT_FALSE(m_gateway->Report("r").accepting);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Table,
+  Crashes,
+  ::testing::Values(CrashCase{ "LookupOnNewConnection", true, false },
+                    CrashCase{ "LookupOnKeptConnection", true, true },
+                    CrashCase{ "OrderOnNewConnection", false, false },
+                    CrashCase{ "OrderOnKeptConnection", false, true }),
+  [](const auto& aInfo) { return aInfo.param.name; });
+
+// Guards against results that arrive before the crash is known, so that the
+// request is sent to the next target.
+TEST_F(TargetGatewayTest, ACrashIsReportedBeforeTheResult)
+{
+  m_server.AddResponse("", After::kCrash);
+  std::vector<uint64_t> knownAtResult;
+  m_gateway->Run(MakeAttempt(1), [&](const AttemptResult&) {
+    knownAtResult = m_observer.m_crashedFingerprints;
+  });
+  TickFor(200);
+  EXPECT_EQ(knownAtResult, std::vector<uint64_t>{ 41 });
+}
+
+// Guards against losing the suspect when the target is back before a connect
+// fails.
+TEST_F(TargetGatewayTest, ANewRunOfTheTargetShowsACrash)
+{
+  m_server.AddResponse("", After::kReset);
+  Start(MakeAttempt(1, false));
+  RunFor(20);
+  targets::TargetView view;
+  view.run = { "t-2", 9 };
+  view.accepting = true;
+  view.slots = 2;
+  m_gateway->SetTarget(view);
+  EXPECT_EQ(m_observer.m_crashedFingerprints, std::vector<uint64_t>{ 41 });
+  EXPECT_EQ(m_results.size(), 1U);
+}
+
+// Guards against failing lookups whose idle connection a live target closed.
+TEST_F(TargetGatewayTest, ALookupOnAStaleConnectionIsSentAgain)
+{
+  m_server.AddResponse(Ok("x"));
+  RunOne(MakeAttempt(1));
+  m_results.clear();
+  m_server.AddResponse("", After::kReset);
+  m_server.AddResponse(Ok("y"));
+  const AttemptResult result = RunOne(MakeAttempt(2));
+  EXPECT_EQ(result.response.body, "y");
+  EXPECT_TRUE(m_observer.m_crashedFingerprints.empty());
+}
+
+// Guards against sending a request again that meanwhile became a suspect.
+TEST_F(TargetGatewayTest, ASuspectIsNotSentAgain)
+{
+  m_server.AddResponse(Ok("x"));
+  RunOne(MakeAttempt(1));
+  m_results.clear();
+  m_server.AddResponse("", After::kReset);
+  m_server.AddResponse(Ok("y"));
+  Start(MakeAttempt(2));
+  RunFor(10);
+  m_observer.m_blockedFingerprint = 42;
+  TickFor(200);
+  ASSERT_EQ(m_results.size(), 1U);
+  EXPECT_EQ(m_results[0].outcome, Outcome::kUnknown);
+  EXPECT_EQ(m_server.Requests().size(), 2U);
+}
+
 // Guards against unnecessary probe connections to a live target: one is
 // sufficient, and none is needed if the target responds in the meantime.
 TEST_F(TargetGatewayTest, ProbesALiveTargetAtMostOnce)
--- a/wagtailbend/exchange/testing/fakes.h
+++ b/wagtailbend/exchange/testing/fakes.h
@@ -40,6 +40,10 @@
   {
     return aFingerprint != m_blockedFingerprint;
   }
+  bool MayResend(uint64_t aFingerprint) override
+  {
+    return aFingerprint != m_blockedFingerprint;
+  }
   bool TryTakeRetry(const Attempt&) override { return m_allowedRetries-- > 0; }
   void OnAttemptLost(const Attempt&, bool aKeptConnection) override
   {
--- a/wagtailbend/http1/testing/scripted_server.h
+++ b/wagtailbend/http1/testing/scripted_server.h
@@ -31,6 +31,8 @@
     kKeepOpen,
     kClose,
     kReset,
+    /// Closes all connections and stops listening, like a process that crashes.
+    kCrash,
   };
 
   explicit ScriptedServer(asio::io_context& aIo)
@@ -124,6 +126,10 @@
       scripted.bytes.replace(placeholder, 4, id);
     }
     std::error_code ignored;
+    if (scripted.after == After::kCrash) {
+      Stop();
+      return;
+    }
     asio::write(*aSocket, asio::buffer(scripted.bytes), ignored);
     if (scripted.after == After::kReset) {
       aSocket->set_option(asio::socket_base::linger(true, 0), ignored);
--- a/wagtailbend/node/traffic_node.cc
+++ b/wagtailbend/node/traffic_node.cc
@@ -854,6 +854,13 @@
   return false;
 }
 
+bool
+TrafficNode::MayResend(uint64_t aFingerprint)
+{
+  return m_quarantine.Check(aFingerprint, m_trialDaemons, BootNow()).kind ==
+         quarantine::QuarantineAction::kPass;
+}
+
 bool
 TrafficNode::TryTakeRetry(const exchange::Attempt& aAttempt)
 {
--- a/wagtailbend/node/traffic_node.h
+++ b/wagtailbend/node/traffic_node.h
@@ -133,6 +133,7 @@
   // exchange::GatewayObserver
   void OnTargetCrashed(const std::vector<uint64_t>& aFingerprints) override;
   bool BeginRun(uint64_t aFingerprint) override;
+  bool MayResend(uint64_t aFingerprint) override;
   bool TryTakeRetry(const exchange::Attempt& aAttempt) override;
   void OnAttemptLost(const exchange::Attempt& aAttempt,
                      bool aKeptConnection) override;
