Send an order that the target rejected again on another connection

What callers saw (a report of another operator): "not run, try again" for an order that its target ran or was running.

Cause: after a rejection the gateway sends the order again to the same target, with the same id and mostly on the same kept connection. A target that writes the rejection once more there answers the retry with it, because the id matches. The order ends as "not run" and its caller may send it again, while it runs.

A connection on which a target rejected a request is not used for that request again. On other connections the repeated rejection carries the id of no pending request and is skipped, as before. Attempts of one request at other daemons go to other targets, so the id cannot match there.

The test failed before (ARepeatedRejectionDoesNotAnswerTheRetry).

--- a/wagtailbend/exchange/target_gateway.cc
+++ b/wagtailbend/exchange/target_gateway.cc
@@ -291,7 +291,7 @@
   }
   pending.runBegun = true;
   m_running.insert(aKey);
-  if (ConnectionPtr idle = TakeIdleConnection(!pending.attempt.idempotent)) {
+  if (ConnectionPtr idle = TakeIdleConnection(pending)) {
     pending.connectionReused = true;
     SendOn(aKey, idle);
     return;
@@ -300,10 +300,13 @@
 }
 
 TargetGateway::ConnectionPtr
-TargetGateway::TakeIdleConnection(bool aRecentOnly)
+TargetGateway::TakeIdleConnection(const PendingAttempt& aPending)
 {
   const TimePoint now = BootNow();
-  while (!m_idle.empty()) {
+  // Connections that the request must not use go back to the pool.
+  std::vector<ConnectionPtr> excluded;
+  ConnectionPtr taken;
+  while (!taken && !m_idle.empty()) {
     ConnectionPtr connection = m_idle.back();
     if (!connection->IsReady()) {
       m_idle.pop_back();
@@ -322,14 +325,21 @@
       --m_openConnections;
       continue;
     }
-    if (aRecentOnly && idle > kMaxIdleForNonIdempotent &&
+    if (!aPending.attempt.idempotent && idle > kMaxIdleForNonIdempotent &&
         (m_connectionLimit == 0 || m_openConnections < m_connectionLimit)) {
-      return nullptr;
+      break;
     }
     m_idle.pop_back();
-    return connection;
+    const auto& rejectedOn = aPending.rejectedOn;
+    if (std::find(rejectedOn.begin(), rejectedOn.end(), connection) !=
+        rejectedOn.end()) {
+      excluded.push_back(std::move(connection));
+      continue;
+    }
+    taken = std::move(connection);
   }
-  return nullptr;
+  m_idle.insert(m_idle.end(), excluded.rbegin(), excluded.rend());
+  return taken;
 }
 
 void
@@ -426,16 +436,18 @@
     --m_openConnections;
   }
   if (auto* received = std::get_if<http1::CompleteResponse>(&aResult)) {
-    OnResponse(aKey, std::move(*received));
+    OnResponse(aKey, connection, std::move(*received));
   } else {
     OnNoResponse(aKey, std::get<http1::NoResponse>(aResult));
   }
 }
 
 void
-TargetGateway::OnResponse(uint64_t aKey, http1::CompleteResponse aReceived)
+TargetGateway::OnResponse(uint64_t aKey,
+                          const ConnectionPtr& aConnection,
+                          http1::CompleteResponse aReceived)
 {
-  const PendingAttempt& pending = m_pending.at(aKey);
+  PendingAttempt& pending = m_pending.at(aKey);
   m_lastActivity = BootNow();
   http1::ResponseMessage& response = aReceived.response;
   m_counts.foreignResponses += aReceived.skippedResponses;
@@ -454,6 +466,7 @@
   if (rejected) {
     ++m_counts.rejectedByTarget;
     RecordOutcome(!misdirected);
+    pending.rejectedOn.push_back(aConnection);
     if (!misdirected && TryRetryLocally(aKey)) {
       return;
     }
@@ -515,7 +528,7 @@
   ++pending.rejections;
   ++m_counts.retriedLocally;
   m_queue.CountResend(now);
-  if (ConnectionPtr idle = TakeIdleConnection(!pending.attempt.idempotent)) {
+  if (ConnectionPtr idle = TakeIdleConnection(pending)) {
     pending.connectionReused = true;
     SendOn(aKey, idle);
   } else {
--- a/wagtailbend/exchange/target_gateway.h
+++ b/wagtailbend/exchange/target_gateway.h
@@ -177,6 +177,9 @@
     /// Run of the target to which the request was sent.
     targets::TargetRun targetRun;
     ConnectionPtr connection;
+    /// Connections on which the target rejected the request. It may write the
+    /// rejection once more, with the id of the request.
+    std::vector<ConnectionPtr> rejectedOn;
     bool started = false;
     /// GatewayObserver::BeginRun was called and returned true.
     bool runBegun = false;
@@ -199,12 +202,16 @@
   void Connect(uint64_t aKey);
   std::optional<uint64_t> FindByRequestId(std::string_view aRequestId) const;
   std::optional<uint64_t> FindByDeadline(TimePoint aDeadline) const;
-  ConnectionPtr TakeIdleConnection(bool aRecentOnly);
+  /// Returns an idle connection on which the request was not rejected, or
+  /// nullptr if there is none that it may use.
+  ConnectionPtr TakeIdleConnection(const PendingAttempt& aPending);
   void KeepIdleConnection(const ConnectionPtr& aConnection);
   std::string SerializeAttempt(const PendingAttempt& aPending,
                                TimePoint aNow) const;
   void OnResult(uint64_t aKey, http1::ClientResult aResult);
-  void OnResponse(uint64_t aKey, http1::CompleteResponse aReceived);
+  void OnResponse(uint64_t aKey,
+                  const ConnectionPtr& aConnection,
+                  http1::CompleteResponse aReceived);
   /// Records what the target says about itself in a response.
   void RecordNotice(const PendingAttempt& aPending,
                     const http1::Headers& aHeaders);
--- a/wagtailbend/exchange/target_gateway_test.cc
+++ b/wagtailbend/exchange/target_gateway_test.cc
@@ -448,6 +448,20 @@
   EXPECT_EQ(m_server.Requests().size(), 3U);
 }
 
+// Guards against a rejection that the target writes once more and that is taken
+// for the response to the retry, which runs.
+TEST_F(TargetGatewayTest, ARepeatedRejectionDoesNotAnswerTheRetry)
+{
+  m_observer.m_allowedRetries = 1;
+  m_server.AddResponse("HTTP/1.1 503 No\r\nId: {id}\r\nNot-Run: 1\r\n"
+                       "Content-Length: 0\r\n\r\n",
+                       After::kRepeatLater);
+  m_server.AddResponse(Ok("y"));
+  const AttemptResult result = RunOne(MakeAttempt(1, false));
+  EXPECT_EQ(result.outcome, Outcome::kResponded);
+  EXPECT_EQ(result.response.body, "y");
+}
+
 // Guards against retries beyond the system-wide bound, and against nested
 // lookups that exhaust it.
 TEST_F(TargetGatewayTest, RetriesOnlyWithinTheBudget)
--- a/wagtailbend/http1/testing/scripted_server.h
+++ b/wagtailbend/http1/testing/scripted_server.h
@@ -9,8 +9,10 @@
 
 #include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <asio/io_context.hpp>
@@ -31,6 +33,9 @@
     kKeepOpen,
     kClose,
     kReset,
+    /// Writes the response once more when the next request comes on the
+    /// connection.
+    kRepeatLater,
     /// Closes all connections and stops listening, like a process that crashes.
     kCrash,
   };
@@ -130,11 +135,15 @@
       Stop();
       return;
     }
+    const std::string repeated = std::exchange(
+      m_repeats[aSocket],
+      scripted.after == After::kRepeatLater ? scripted.bytes : "");
+    asio::write(*aSocket, asio::buffer(repeated), ignored);
     asio::write(*aSocket, asio::buffer(scripted.bytes), ignored);
     if (scripted.after == After::kReset) {
       aSocket->set_option(asio::socket_base::linger(true, 0), ignored);
     }
-    if (scripted.after != After::kKeepOpen) {
+    if (scripted.after == After::kClose || scripted.after == After::kReset) {
       aSocket->close(ignored);
     }
   }
@@ -145,6 +154,7 @@
   std::deque<ScriptedResponse> m_responses;
   std::vector<std::string> m_requests;
   std::vector<SocketPtr> m_sockets;
+  std::map<SocketPtr, std::string> m_repeats;
 };
 
 } // namespace wagtailbend::http1::testing
