Let crash suspects wait for their turn and end retries of quarantined requests

What callers saw: after a crash, requests that only happened to be running at the target were rejected while another suspect ran, at up to four targets, and then failed. A lookup that was quarantined while it ran was still retried.

A target runs up to four suspects at a time, each fingerprint once; further ones wait in the slot that they have. If the target crashes, all four count. The dispatcher asks the quarantine before each attempt, and a rejection as quarantined ends the request.

The new tests failed before, as the code had no such calls (ASuspectWaitsForItsTurn, AQuarantinedRequestIsNotRetried, LimitsConcurrentTrials).

--- a/wagtailbend/exchange/request_dispatcher.cc
+++ b/wagtailbend/exchange/request_dispatcher.cc
@@ -168,8 +168,8 @@
   request->service = m_splits.Pick(*request->route, m_rng);
   SetTimes(*request, now);
   InheritFromParent(*request);
-  request->fingerprint = quarantine::FingerprintOf(request->message->target,
-                                                   request->message->body);
+  request->fingerprint =
+    quarantine::FingerprintOf(request->message->target, request->message->body);
   RecognizeRetryingClient(*request, now);
   if (!m_observer.IsRunAllowed(request->fingerprint)) {
     Reject(request,
@@ -296,6 +296,12 @@
 void
 RequestDispatcher::StartAttempt(const OpenRequestPtr& aOpenRequest)
 {
+  if (!m_observer.IsRunAllowed(aOpenRequest->fingerprint)) {
+    Reject(aOpenRequest,
+           ErrorKind::kQuarantined,
+           "request is quarantined because it crashed targets");
+    return;
+  }
   const TimePoint now = BootNow();
   std::vector<TargetOption> options =
     m_directory.TargetOptions(aOpenRequest->service, aOpenRequest->route->name);
@@ -422,7 +428,8 @@
     { aOpenRequest->address, aResult.error.detail });
   const TimePoint now = BootNow();
   if (aOpenRequest->rejections.size() > kMaxRejections ||
-      now >= aOpenRequest->deadline) {
+      now >= aOpenRequest->deadline ||
+      aResult.error.kind == ErrorKind::kQuarantined) {
     Reject(aOpenRequest, aResult.error.kind, aResult.error.detail);
     return;
   }
--- a/wagtailbend/exchange/request_dispatcher_test.cc
+++ b/wagtailbend/exchange/request_dispatcher_test.cc
@@ -521,5 +521,17 @@
             quarantine::FingerprintOf("/lookup/1", ""));
 }
 
+// Guards against a retry of a lookup that was quarantined while it ran.
+TEST_F(EntryTest, AQuarantinedRequestIsNotRetried)
+{
+  Send("/lookup/1");
+  RunFor(20);
+  ASSERT_EQ(Channel(0).m_pendingCallbacks.size(), 1U);
+  m_observer.m_mayRun = false;
+  Channel(0).m_pendingCallbacks[0](Failed(Outcome::kUnknown, true));
+  EXPECT_EQ(StatusOf(Received()), 502);
+  EXPECT_TRUE(Channel(1).m_attempts.empty());
+}
+
 } // namespace
 } // namespace wagtailbend::exchange
--- a/wagtailbend/exchange/target_gateway.cc
+++ b/wagtailbend/exchange/target_gateway.cc
@@ -220,6 +220,7 @@
 TargetGateway::Tick(TimePoint aNow)
 {
   Advance(aNow);
+  DispatchWaitingSuspects();
   while (!m_lostRequests.empty() &&
          aNow - m_lostRequests.front().first > kCrashDetectionWindow) {
     m_lostRequests.pop_front();
@@ -281,13 +282,19 @@
 TargetGateway::Dispatch(uint64_t aKey)
 {
   PendingAttempt& pending = m_pending.at(aKey);
-  if (!m_observer.BeginRun(pending.attempt.fingerprint)) {
-    AttemptResult result;
-    result.outcome = Outcome::kNotRun;
-    result.error = { ErrorKind::kQuarantined,
-                     "request is quarantined or a crash suspect" };
-    Complete(aKey, std::move(result), false);
-    return;
+  switch (m_observer.BeginRun(pending.attempt)) {
+    case RunPermission::kRun:
+      break;
+    case RunPermission::kWait:
+      m_waitingSuspects.push_back(aKey);
+      return;
+    case RunPermission::kReject:
+      Complete(aKey,
+               MakeNotRunResult(pending.attempt.route,
+                                ErrorKind::kQuarantined,
+                                "request is quarantined"),
+               false);
+      return;
   }
   pending.runBegun = true;
   m_running.insert(aKey);
@@ -299,6 +306,26 @@
   Connect(aKey);
 }
 
+void
+TargetGateway::DispatchWaitingSuspects()
+{
+  for (const uint64_t key : std::exchange(m_waitingSuspects, {})) {
+    const auto found = m_pending.find(key);
+    if (found == m_pending.end()) {
+      continue;
+    }
+    if (IsAccepting()) {
+      Dispatch(key);
+      continue;
+    }
+    Complete(key,
+             MakeNotRunResult(found->second.attempt.route,
+                              ErrorKind::kDraining,
+                              "target or daemon is draining"),
+             false);
+  }
+}
+
 TargetGateway::ConnectionPtr
 TargetGateway::TakeIdleConnection(const PendingAttempt& aPending)
 {
--- a/wagtailbend/exchange/target_gateway.h
+++ b/wagtailbend/exchange/target_gateway.h
@@ -53,6 +53,15 @@
   uint64_t key = 0;
 };
 
+enum class RunPermission : uint8_t
+{
+  kRun,
+  /// Too many crash suspects are running.
+  kWait,
+  /// The request is quarantined.
+  kReject,
+};
+
 /// Receives events of the target. Called on the traffic thread.
 class GatewayObserver
 {
@@ -60,9 +69,9 @@
   virtual ~GatewayObserver() = default;
   /// The target crashed while these requests were running.
   virtual void OnTargetCrashed(const std::vector<uint64_t>& aFingerprints) = 0;
-  /// Returns false if the request must not run here now, because it is
-  /// quarantined, or a crash suspect while another suspect runs.
-  virtual bool BeginRun(uint64_t aFingerprint) = 0;
+  /// Called before a request is sent to the target, and repeatedly while the
+  /// result is kWait.
+  virtual RunPermission BeginRun(const Attempt& aAttempt) = 0;
   /// Returns false if the request has become a crash suspect, so that it must
   /// not be sent to the target again without BeginRun.
   virtual bool MayResend(uint64_t aFingerprint) = 0;
@@ -181,7 +190,7 @@
     /// rejection once more, with the id of the request.
     std::vector<ConnectionPtr> rejectedOn;
     bool started = false;
-    /// GatewayObserver::BeginRun was called and returned true.
+    /// GatewayObserver::BeginRun was called and returned kRun.
     bool runBegun = false;
     bool connectionReused = false;
     /// The target may have run the request, although a connection to it was
@@ -198,6 +207,7 @@
   };
 
   void Dispatch(uint64_t aKey);
+  void DispatchWaitingSuspects();
   void SendOn(uint64_t aKey, const ConnectionPtr& aConnection);
   void Connect(uint64_t aKey);
   std::optional<uint64_t> FindByRequestId(std::string_view aRequestId) const;
@@ -270,6 +280,8 @@
   std::vector<ConnectionPtr> m_idle;
   size_t m_openConnections = 0;
   TimePoint m_unreachableUntil{};
+  /// Attempts that have a slot and wait until fewer crash suspects run.
+  std::vector<uint64_t> m_waitingSuspects;
   /// Attempts whose result is held, in the order in which they were lost.
   std::vector<uint64_t> m_lostKeys;
   TimePoint m_lastLossAt{};
--- a/wagtailbend/exchange/target_gateway_test.cc
+++ b/wagtailbend/exchange/target_gateway_test.cc
@@ -492,6 +492,23 @@
   EXPECT_TRUE(m_server.Requests().empty());
 }
 
+// Guards against rejecting customers whose requests only happened to be running
+// when a target crashed.
+TEST_F(TargetGatewayTest, ASuspectWaitsForItsTurn)
+{
+  m_observer.m_blockedFingerprint = 41;
+  m_observer.m_blockedPermission = RunPermission::kWait;
+  m_server.AddResponse(Ok("x"));
+  Start(MakeAttempt(1, false));
+  TickFor(60);
+  EXPECT_TRUE(m_results.empty());
+  EXPECT_TRUE(m_server.Requests().empty());
+  m_observer.m_blockedFingerprint.reset();
+  TickFor(60);
+  ASSERT_EQ(m_results.size(), 1U);
+  EXPECT_EQ(m_results[0].outcome, Outcome::kResponded);
+}
+
 // Guards against using a connection again on which a full target has fallen
 // silent: it answers nothing that comes later on it, either.
 TEST_F(TargetGatewayTest, ASilentConnectionIsNotUsedAgain)
--- a/wagtailbend/exchange/testing/fakes.h
+++ b/wagtailbend/exchange/testing/fakes.h
@@ -36,9 +36,10 @@
   {
     m_crashedFingerprints = aFingerprints;
   }
-  bool BeginRun(uint64_t aFingerprint) override
+  RunPermission BeginRun(const Attempt& aAttempt) override
   {
-    return aFingerprint != m_blockedFingerprint;
+    return aAttempt.fingerprint == m_blockedFingerprint ? m_blockedPermission
+                                                        : RunPermission::kRun;
   }
   bool MayResend(uint64_t aFingerprint) override
   {
@@ -71,6 +72,7 @@
   std::vector<http1::FailureReason> m_invalidResponses;
   std::vector<targets::TargetNotice> m_conditions;
   std::optional<uint64_t> m_blockedFingerprint;
+  RunPermission m_blockedPermission = RunPermission::kReject;
   /// Number of retries that are still allowed.
   int m_allowedRetries = 0;
   std::array<double, gate::kPriorityClasses> m_downstreamLevels{ 1, 1, 1, 1 };
--- a/wagtailbend/node/traffic_log.cc
+++ b/wagtailbend/node/traffic_log.cc
@@ -89,6 +89,22 @@
     .Info();
 }
 
+void
+TrafficLog::LogSuspect(std::string_view aEvent,
+                       const exchange::Attempt& aAttempt,
+                       TimePoint aNow)
+{
+  if (!m_suspectLimiter.Admit(aNow)) {
+    return;
+  }
+  observability::Event(aEvent)
+    .Add("request", aAttempt.requestId)
+    .Add("path", aAttempt.message->target)
+    .Add("route", aAttempt.route)
+    .Add("fingerprint", ToHex(aAttempt.fingerprint))
+    .Warn();
+}
+
 void
 TrafficLog::LogSuppressedCounts(TimePoint aNow)
 {
@@ -100,7 +116,8 @@
   const uint64_t failed = m_failedLimiter.TakeSuppressed();
   const uint64_t invalid = m_invalidResponseLimiter.TakeSuppressed();
   const uint64_t lost = m_lostLimiter.TakeSuppressed();
-  if (responded + failed + invalid + lost == 0) {
+  const uint64_t suspects = m_suspectLimiter.TakeSuppressed();
+  if (responded + failed + invalid + lost + suspects == 0) {
     return;
   }
   observability::Event("request_lines_left_out")
@@ -108,6 +125,7 @@
     .Add("failed", failed)
     .Add("invalid", invalid)
     .Add("lost", lost)
+    .Add("suspects", suspects)
     .Info();
 }
 
--- a/wagtailbend/node/traffic_log.h
+++ b/wagtailbend/node/traffic_log.h
@@ -23,6 +23,10 @@
   void LogLostAttempt(const exchange::Attempt& aAttempt,
                       bool aKeptConnection,
                       TimePoint aNow);
+  /// Logs a decision on a request that was running when a target crashed.
+  void LogSuspect(std::string_view aEvent,
+                  const exchange::Attempt& aAttempt,
+                  TimePoint aNow);
   /// Logs the numbers of suppressed lines, at most once per second.
   void LogSuppressedCounts(TimePoint aNow);
 
@@ -33,6 +37,7 @@
   observability::EventRateLimiter m_failedLimiter{ 40 };
   observability::EventRateLimiter m_invalidResponseLimiter{ 5 };
   observability::EventRateLimiter m_lostLimiter{ 5 };
+  observability::EventRateLimiter m_suspectLimiter{ 5 };
   TimePoint m_suppressedLoggedAt{};
 };
 
--- a/wagtailbend/node/traffic_node.cc
+++ b/wagtailbend/node/traffic_node.cc
@@ -48,7 +48,10 @@
 // Requests that crash targets are sent again within minutes. The short lifetime
 // bounds the harm to a request that merely was running at two crashes.
 constexpr quarantine::QuarantineLimits kQuarantineLimits = {
-  .lifetime = std::chrono::minutes(2)
+  .lifetime = std::chrono::minutes(2),
+  // Most suspects only happened to be running at a crash, and their customers
+  // wait for them.
+  .maxConcurrentTrials = 4
 };
 
 // Shares of the retry budget: for retries at other targets, chosen by the
@@ -837,21 +840,26 @@
   }
 }
 
-bool
-TrafficNode::BeginRun(uint64_t aFingerprint)
+exchange::RunPermission
+TrafficNode::BeginRun(const exchange::Attempt& aAttempt)
 {
   const TimePoint now = BootNow();
-  m_targetRetryBudget.RecordCall(m_settings.service, now);
-  switch (m_quarantine.Check(aFingerprint, m_trialDaemons, now).kind) {
+  switch (m_quarantine.Check(aAttempt.fingerprint, m_trialDaemons, now).kind) {
     case quarantine::QuarantineAction::kPass:
-      return true;
+      break;
     case quarantine::QuarantineAction::kTrialHere:
-      return m_quarantine.BeginTrial(aFingerprint, m_trialDaemons, now);
+      if (!m_quarantine.BeginTrial(aAttempt.fingerprint, m_trialDaemons, now)) {
+        return exchange::RunPermission::kWait;
+      }
+      m_log.LogSuspect("suspect_runs", aAttempt, now);
+      break;
     case quarantine::QuarantineAction::kTrialElsewhere:
     case quarantine::QuarantineAction::kQuarantined:
-      return false;
+      m_log.LogSuspect("suspect_rejected", aAttempt, now);
+      return exchange::RunPermission::kReject;
   }
-  return false;
+  m_targetRetryBudget.RecordCall(m_settings.service, now);
+  return exchange::RunPermission::kRun;
 }
 
 bool
--- a/wagtailbend/node/traffic_node.h
+++ b/wagtailbend/node/traffic_node.h
@@ -132,7 +132,7 @@
 
   // exchange::GatewayObserver
   void OnTargetCrashed(const std::vector<uint64_t>& aFingerprints) override;
-  bool BeginRun(uint64_t aFingerprint) override;
+  exchange::RunPermission BeginRun(const exchange::Attempt& aAttempt) override;
   bool MayResend(uint64_t aFingerprint) override;
   bool TryTakeRetry(const exchange::Attempt& aAttempt) override;
   void OnAttemptLost(const exchange::Attempt& aAttempt,
--- a/wagtailbend/quarantine/quarantine_list.cc
+++ b/wagtailbend/quarantine/quarantine_list.cc
@@ -88,21 +88,19 @@
                            std::span<const DaemonId> aLive,
                            TimePoint aNow)
 {
-  if (m_trial ||
+  if (m_trials.size() >= m_limits.maxConcurrentTrials ||
       Check(aFingerprint, aLive, aNow).kind != QuarantineAction::kTrialHere) {
     return false;
   }
-  m_trial = aFingerprint;
-  return true;
+  return m_trials.insert(aFingerprint).second;
 }
 
 std::optional<SuspectEntry>
 QuarantineList::EndTrial(uint64_t aFingerprint, bool aSurvived, TimePoint aNow)
 {
-  if (m_trial != aFingerprint) {
+  if (m_trials.erase(aFingerprint) == 0) {
     return std::nullopt;
   }
-  m_trial.reset();
   const auto found = m_records.find(aFingerprint);
   if (!aSurvived || found == m_records.end() ||
       found->second.expiresAt <= aNow) {
@@ -119,7 +117,7 @@
                                 TimePoint aNow,
                                 Rng& aRng)
 {
-  m_trial.reset();
+  m_trials.clear();
   std::vector<uint64_t> distinct(aInFlight.begin(), aInFlight.end());
   std::ranges::sort(distinct);
   distinct.erase(std::unique(distinct.begin(), distinct.end()), distinct.end());
--- a/wagtailbend/quarantine/quarantine_list.h
+++ b/wagtailbend/quarantine/quarantine_list.h
@@ -12,6 +12,7 @@
 #include <array>
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <span>
 #include <string_view>
 #include <unordered_map>
@@ -81,6 +82,9 @@
   /// Upper bound for the time in which an update reaches all daemons of the
   /// failure domain; equals the bound for membership changes.
   Duration gossipPropagationTime = std::chrono::seconds(3);
+  /// Suspects that run at the local target at the same time. If it crashes, all
+  /// of them count.
+  size_t maxConcurrentTrials = 1;
 };
 
 /// Tracks crash suspects and quarantined fingerprints at one daemon. With a
@@ -109,7 +113,8 @@
                            std::span<const DaemonId> aLive,
                            TimePoint aNow) const;
   /// Starts the trial of a suspect at the local target. Returns false unless
-  /// Check returns kTrialHere and no other suspect is in flight.
+  /// Check returns kTrialHere, no copy of it is in flight, and fewer than
+  /// QuarantineLimits::maxConcurrentTrials other suspects are.
   [[nodiscard]] bool BeginTrial(uint64_t aFingerprint,
                                 std::span<const DaemonId> aLive,
                                 TimePoint aNow);
@@ -120,7 +125,7 @@
                                        bool aSurvived,
                                        TimePoint aNow);
   /// Records that the local target crashed with these requests in flight, and
-  /// ends a running trial. Returns the entries to gossip.
+  /// ends all trials. Returns the entries to gossip.
   std::vector<SuspectEntry> OnTargetCrashed(std::span<const uint64_t> aInFlight,
                                             TimePoint aNow,
                                             Rng& aRng);
@@ -159,7 +164,8 @@
   DaemonId m_self;
   QuarantineLimits m_limits;
   std::unordered_map<uint64_t, Record> m_records;
-  std::optional<uint64_t> m_trial;
+  /// Suspects in flight at the local target.
+  std::set<uint64_t> m_trials;
 };
 
 } // namespace wagtailbend::quarantine
--- a/wagtailbend/quarantine/quarantine_list_test.cc
+++ b/wagtailbend/quarantine/quarantine_list_test.cc
@@ -185,5 +185,21 @@
   EXPECT_TRUE(list.Export(1, kNow).front().IsQuarantined());
 }
 
+// Guards against suspects that wait for each other though several may run, and
+// against copies of one suspect that run together.
+TEST(QuarantineList, LimitsConcurrentTrials)
+{
+  Rng rng(1);
+  QuarantineList list(SelectedDaemon(), { .maxConcurrentTrials = 2 });
+  const std::vector<DaemonId> self = { SelectedDaemon() };
+  CrashTarget(list, { 1, 2, 3 }, rng);
+  EXPECT_TRUE(list.BeginTrial(1, self, kNow));
+  EXPECT_FALSE(list.BeginTrial(1, self, kNow));
+  EXPECT_TRUE(list.BeginTrial(2, self, kNow));
+  EXPECT_FALSE(list.BeginTrial(3, self, kNow));
+  list.EndTrial(1, true, kNow);
+  EXPECT_TRUE(list.BeginTrial(3, self, kNow));
+}
+
 } // namespace
 } // namespace wagtailbend::quarantine
