Exchange crash suspects when daemons connect and when their lists differ

What callers saw: after the daemons had restarted one after another, a request that was quarantined crashed targets again.

Cause: suspects were sent once, to the links that were up, and each counted as a single crash. A daemon that starts, that was frozen, or that is cut off from the one whose target crashed never learned of them.

Both sides send their suspects when they connect. A digest goes with each load report, as the version of the configuration does, and a peer that keeps reporting another one is sent the list. Updates go over the connections that also bring results, so that a peer knows the suspects before the result of its attempt. A suspect that survived a run is now made known too.

Ruled out: passing each update on to all peers (a message for each pair of daemons at each crash), and rows in the store (billed, and down at times).

The three new cases of node_test were not run on the code before.

--- a/wagtailbend/exchange/attempt.h
+++ b/wagtailbend/exchange/attempt.h
@@ -73,6 +73,8 @@
   /// Newest known generation of the store; see store::Platform::Generation.
   uint64_t storeGeneration = 0;
   double failureShare = 0;
+  /// Digest of the daemon's crash suspects; 0: not stated.
+  uint64_t suspectsDigest = 0;
 
   bool operator==(const LoadReport&) const = default;
 };
--- a/wagtailbend/mesh/convert.cc
+++ b/wagtailbend/mesh/convert.cc
@@ -121,6 +121,7 @@
   report.set_store_generation(aReport.storeGeneration);
   report.set_failure_permille(ToPermille(aReport.failureShare));
   report.set_requests_per_second(aReport.requestsPerSecond.value_or(0));
+  report.set_suspects_digest(aReport.suspectsDigest);
   return report;
 }
 
@@ -149,6 +150,7 @@
   if (aReport.requests_per_second() > 0) {
     report.requestsPerSecond = aReport.requests_per_second();
   }
+  report.suspectsDigest = aReport.suspects_digest();
   return report;
 }
 
@@ -268,6 +270,44 @@
   return result;
 }
 
+wire::Suspects
+ToProto(const std::vector<quarantine::SuspectEntry>& aSuspects)
+{
+  wire::Suspects message;
+  for (const quarantine::SuspectEntry& entry : aSuspects) {
+    wire::Suspect* added = message.add_suspects();
+    added->set_fingerprint(entry.fingerprint);
+    for (const uint64_t id : entry.crashIds) {
+      if (id != 0) {
+        added->add_crash_ids(id);
+      }
+    }
+    added->set_cleared(entry.cleared);
+    added->set_remaining_ms(ToNonNegativeMs(entry.remaining));
+  }
+  return message;
+}
+
+std::vector<quarantine::SuspectEntry>
+FromProto(const wire::Suspects& aSuspects)
+{
+  std::vector<quarantine::SuspectEntry> entries;
+  for (const wire::Suspect& suspect : aSuspects.suspects()) {
+    quarantine::SuspectEntry entry;
+    entry.fingerprint = suspect.fingerprint();
+    const size_t count = std::min<size_t>(
+      entry.crashIds.size(), static_cast<size_t>(suspect.crash_ids_size()));
+    for (size_t i = 0; i < count; ++i) {
+      entry.crashIds[i] = suspect.crash_ids(static_cast<int>(i));
+    }
+    std::ranges::sort(entry.crashIds);
+    entry.cleared = suspect.cleared();
+    entry.remaining = std::chrono::milliseconds(suspect.remaining_ms());
+    entries.push_back(entry);
+  }
+  return entries;
+}
+
 wire::RouteConfig
 ToProto(const routes::RouteConfig& aConfig)
 {
--- a/wagtailbend/mesh/convert.h
+++ b/wagtailbend/mesh/convert.h
@@ -9,6 +9,7 @@
 #include "wagtailbend/exchange/attempt.h"
 #include "wagtailbend/mesh.pb.h"
 #include "wagtailbend/mesh/member.h"
+#include "wagtailbend/quarantine/quarantine_list.h"
 #include "wagtailbend/routes/route_table.h"
 
 namespace wagtailbend::mesh {
@@ -40,6 +41,11 @@
 exchange::AttemptResult
 MoveFromProto(wire::Result& aMessage);
 
+wire::Suspects
+ToProto(const std::vector<quarantine::SuspectEntry>& aSuspects);
+std::vector<quarantine::SuspectEntry>
+FromProto(const wire::Suspects& aSuspects);
+
 wire::RouteConfig
 ToProto(const routes::RouteConfig& aConfig);
 routes::RouteConfig
--- a/wagtailbend/mesh/mesh_test.cc
+++ b/wagtailbend/mesh/mesh_test.cc
@@ -53,7 +53,13 @@
     ++m_configRequestChecks;
     return m_allowConfigRequest;
   }
-  void OnCrashSuspects(const std::vector<CrashSuspect>& aSuspects) override
+  std::vector<quarantine::SuspectEntry> CrashSuspects() const override
+  {
+    return m_localSuspects;
+  }
+  uint64_t SuspectsDigest() const override { return 5; }
+  void OnCrashSuspects(
+    const std::vector<quarantine::SuspectEntry>& aSuspects) override
   {
     m_suspects = aSuspects;
   }
@@ -65,7 +71,8 @@
   Member m_self;
   routes::RouteConfig m_config;
   std::vector<Member> m_members;
-  std::vector<CrashSuspect> m_suspects;
+  std::vector<quarantine::SuspectEntry> m_localSuspects;
+  std::vector<quarantine::SuspectEntry> m_suspects;
   std::vector<std::string> m_linkEvents;
   exchange::LoadReport m_report;
   bool m_allowConfigRequest = true;
--- a/wagtailbend/mesh/node_context.h
+++ b/wagtailbend/mesh/node_context.h
@@ -8,20 +8,11 @@
 
 #include "wagtailbend/exchange/attempt.h"
 #include "wagtailbend/mesh/member.h"
+#include "wagtailbend/quarantine/quarantine_list.h"
 #include "wagtailbend/routes/route_table.h"
 
 namespace wagtailbend::mesh {
 
-/// A request that was running when a target crashed.
-struct CrashSuspect
-{
-  uint64_t fingerprint = 0;
-  /// Random id of the crash, so that updates about one crash count once.
-  uint64_t crashId = 0;
-
-  bool operator==(const CrashSuspect&) const = default;
-};
-
 /// Implemented by the daemon. All methods are called on the traffic thread.
 class NodeContext
 {
@@ -45,7 +36,12 @@
   /// daemons read it from the store.
   virtual bool ShouldRequestConfig(uint64_t aVersion,
                                    const std::string& aAddress) = 0;
-  virtual void OnCrashSuspects(const std::vector<CrashSuspect>& aSuspects) = 0;
+  /// Returns the crash suspects that a peer has to know when it connects.
+  virtual std::vector<quarantine::SuspectEntry> CrashSuspects() const = 0;
+  /// Returns a digest of the crash suspects; never 0.
+  virtual uint64_t SuspectsDigest() const = 0;
+  virtual void OnCrashSuspects(
+    const std::vector<quarantine::SuspectEntry>& aSuspects) = 0;
   /// Called when a link to a member comes up (aReason is empty) or goes down.
   virtual void OnLinkStateChange(const std::string& aAddress,
                                  std::string_view aReason) = 0;
--- a/wagtailbend/mesh/peer_link.cc
+++ b/wagtailbend/mesh/peer_link.cc
@@ -243,6 +243,7 @@
   *hello.mutable_member() = ToProto(m_context.Self());
   hello.set_config_version(ConfigVersionOf(m_context));
   hello.set_wants_members(m_context.Members().size() <= 1);
+  *hello.mutable_suspects() = ToProto(m_context.CrashSuspects());
   m_stream->Send(frame);
 }
 
@@ -267,6 +268,9 @@
     case wire::Frame::kConfig:
       m_context.OnConfig(FromProto(aFrame.config()));
       return;
+    case wire::Frame::kSuspects:
+      m_context.OnCrashSuspects(FromProto(aFrame.suspects()));
+      return;
     case wire::Frame::kConfigRequest:
       if (ConfigVersionOf(m_context) > aFrame.config_request().newer_than()) {
         wire::Frame response;
@@ -297,6 +301,8 @@
   m_incarnation = member.incarnation;
   // A restarted peer may have lost the configuration of its former process.
   m_peerConfigVersion = 0;
+  // Before the results of earlier attempts.
+  m_context.OnCrashSuspects(FromProto(aWelcome.suspects()));
   Reattach();
   m_context.OnMember(member);
   m_context.OnReport(m_address, FromProto(aWelcome.report()));
--- a/wagtailbend/mesh/peer_server.cc
+++ b/wagtailbend/mesh/peer_server.cc
@@ -136,6 +136,8 @@
   wire::Welcome& welcome = *frame.mutable_welcome();
   *welcome.mutable_member() = ToProto(m_context.Self());
   *welcome.mutable_report() = ToProto(m_context.LocalReport());
+  m_context.OnCrashSuspects(FromProto(aHello.suspects()));
+  *welcome.mutable_suspects() = ToProto(m_context.CrashSuspects());
   if (aHello.wants_members()) {
     for (const Member& member : m_context.Members()) {
       *welcome.add_members() = ToProto(member);
@@ -182,14 +184,9 @@
     case wire::Frame::kConfig:
       m_context.OnConfig(FromProto(aFrame.config()));
       return;
-    case wire::Frame::kSuspects: {
-      std::vector<CrashSuspect> suspects;
-      for (const wire::Suspect& suspect : aFrame.suspects().suspects()) {
-        suspects.push_back({ suspect.fingerprint(), suspect.loss() });
-      }
-      m_context.OnCrashSuspects(suspects);
+    case wire::Frame::kSuspects:
+      m_context.OnCrashSuspects(FromProto(aFrame.suspects()));
       return;
-    }
     default:
       return;
   }
@@ -232,6 +229,7 @@
   FillProto(aResult, message);
   message.set_id(aId);
   message.mutable_report()->set_config_version(ConfigVersionOf(m_context));
+  message.mutable_report()->set_suspects_digest(m_context.SuspectsDigest());
   ReceivedAttempt& received = found->second;
   received.finished = true;
   received.finishedAt = BootNow();
--- a/wagtailbend/node/traffic_node.cc
+++ b/wagtailbend/node/traffic_node.cc
@@ -45,15 +45,23 @@
 // sampled at the ratio of this number to their count.
 constexpr size_t kTargetSampleSize = 16;
 
+// All of them are sent to each peer that connects.
+constexpr size_t kMaxSuspects = 512;
 // Requests that crash targets are sent again within minutes. The short lifetime
 // bounds the harm to a request that merely was running at two crashes.
 constexpr quarantine::QuarantineLimits kQuarantineLimits = {
   .lifetime = std::chrono::minutes(2),
+  .maxEntries = kMaxSuspects,
   // Most suspects only happened to be running at a crash, and their customers
   // wait for them.
   .maxConcurrentTrials = 4
 };
 
+// A peer that reports other crash suspects than this daemon for the first of
+// these times is sent all of them, at most once in the second.
+constexpr Duration kSuspectsSettleTime = std::chrono::milliseconds(500);
+constexpr Duration kSuspectsSendInterval = std::chrono::seconds(2);
+
 // Shares of the retry budget: for retries at other targets, chosen by the
 // request dispatcher, and for retries at the local target after a rejection.
 constexpr double kDispatcherRetryShare = 0.3;
@@ -233,6 +241,8 @@
     m_peerServer.Tick(now);
     UpdateStoreWatch();
     m_log.LogSuppressedCounts(now);
+    m_quarantine.Expire(now);
+    UpdateSuspectsDigest();
     m_metrics.Sample(LocalReport(),
                      m_gateway.Counts(),
                      m_dispatcher.OpenRequests(),
@@ -480,6 +490,7 @@
   report.configVersion = mesh::ConfigVersionOf(*this);
   report.storeLost = m_storeLost;
   report.storeGeneration = m_storeGeneration;
+  report.suspectsDigest = m_suspectsDigest;
   return report;
 }
 
@@ -576,6 +587,7 @@
     peer->report = aReport;
     peer->reportedAt = BootNow();
     peer->sentSinceReport = 0;
+    CompareSuspects(*peer, aReport.suspectsDigest);
   }
   SetStoreGeneration(aReport.storeGeneration);
 }
@@ -620,22 +632,56 @@
   return true;
 }
 
+std::vector<quarantine::SuspectEntry>
+TrafficNode::CrashSuspects() const
+{
+  return m_quarantine.Export(kMaxSuspects, BootNow());
+}
+
 void
-TrafficNode::OnCrashSuspects(const std::vector<mesh::CrashSuspect>& aSuspects)
+TrafficNode::OnCrashSuspects(
+  const std::vector<quarantine::SuspectEntry>& aSuspects)
 {
-  std::vector<quarantine::SuspectEntry> entries;
-  for (const mesh::CrashSuspect& suspect : aSuspects) {
-    quarantine::SuspectEntry entry;
-    entry.fingerprint = suspect.fingerprint;
-    entry.crashIds = { 0, suspect.crashId };
-    entry.remaining = kQuarantineLimits.lifetime;
-    entries.push_back(entry);
+  if (aSuspects.empty()) {
+    return;
   }
-  m_quarantine.Merge(entries, BootNow());
-  Event("crash_suspects")
-    .Add("count", entries.size())
-    .Add("known", m_quarantine.Size())
-    .Info();
+  const uint64_t digest = m_suspectsDigest;
+  m_quarantine.Merge(aSuspects, BootNow());
+  UpdateSuspectsDigest();
+  if (digest != m_suspectsDigest) {
+    Event("crash_suspects")
+      .Add("count", aSuspects.size())
+      .Add("known", m_quarantine.Size())
+      .Info();
+  }
+}
+
+void
+TrafficNode::UpdateSuspectsDigest()
+{
+  m_suspectsDigest = m_quarantine.Digest(BootNow());
+}
+
+void
+TrafficNode::CompareSuspects(Peer& aPeer, uint64_t aDigest)
+{
+  if (aDigest == 0 || aDigest == m_suspectsDigest) {
+    aPeer.suspectsDifferSince.reset();
+    return;
+  }
+  const TimePoint now = BootNow();
+  if (!aPeer.suspectsDifferSince) {
+    aPeer.suspectsDifferSince = now;
+  }
+  // Updates may still be on their way.
+  if (now - *aPeer.suspectsDifferSince < kSuspectsSettleTime ||
+      now - aPeer.suspectsSentAt < kSuspectsSendInterval) {
+    return;
+  }
+  aPeer.suspectsSentAt = now;
+  mesh::wire::Frame frame;
+  *frame.mutable_suspects() = mesh::ToProto(CrashSuspects());
+  aPeer.link->Send(frame);
 }
 
 void
@@ -824,20 +870,15 @@
 TrafficNode::SendCrashSuspects(
   const std::vector<quarantine::SuspectEntry>& aEntries)
 {
-  mesh::wire::Frame frame;
-  for (const quarantine::SuspectEntry& entry : aEntries) {
-    for (const uint64_t loss : entry.crashIds) {
-      if (loss == 0) {
-        continue;
-      }
-      mesh::wire::Suspect* suspect = frame.mutable_suspects()->add_suspects();
-      suspect->set_fingerprint(entry.fingerprint);
-      suspect->set_loss(loss);
-    }
-  }
-  for (const auto& [address, peer] : m_peers) {
-    peer->link->Send(frame);
+  UpdateSuspectsDigest();
+  if (aEntries.empty()) {
+    return;
   }
+  // On the connections that bring results to the peers, so that a peer knows
+  // the suspect before the result of its attempt.
+  mesh::wire::Frame frame;
+  *frame.mutable_suspects() = mesh::ToProto(aEntries);
+  m_peerServer.Broadcast(frame);
 }
 
 exchange::RunPermission
@@ -918,7 +959,10 @@
 void
 TrafficNode::EndRun(uint64_t aFingerprint, bool aSurvived)
 {
-  m_quarantine.EndTrial(aFingerprint, aSurvived, BootNow());
+  if (const auto entry =
+        m_quarantine.EndTrial(aFingerprint, aSurvived, BootNow())) {
+    SendCrashSuspects({ *entry });
+  }
 }
 
 exchange::Levels
--- a/wagtailbend/node/traffic_node.h
+++ b/wagtailbend/node/traffic_node.h
@@ -10,6 +10,7 @@
 #include <array>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -113,8 +114,10 @@
   void OnConfig(const routes::RouteConfig& aConfig) override;
   bool ShouldRequestConfig(uint64_t aVersion,
                            const std::string& aAddress) override;
+  std::vector<quarantine::SuspectEntry> CrashSuspects() const override;
+  uint64_t SuspectsDigest() const override { return m_suspectsDigest; }
   void OnCrashSuspects(
-    const std::vector<mesh::CrashSuspect>& aSuspects) override;
+    const std::vector<quarantine::SuspectEntry>& aSuspects) override;
   void OnLinkStateChange(const std::string& aAddress,
                          std::string_view aReason) override;
 
@@ -179,6 +182,9 @@
     /// Target run that left during an earlier process of this peer, until the
     /// peer says so itself.
     targets::TargetRun earlierLeave;
+    /// Since when the peer reports other crash suspects than this daemon has.
+    std::optional<TimePoint> suspectsDifferSince;
+    TimePoint suspectsSentAt{};
     /// When the link was last up or the member record last changed.
     TimePoint lastUpAt{};
     /// Mean run time at the target by route.
@@ -203,6 +209,9 @@
   /// region.
   void SendConfigVersion();
   void SendCrashSuspects(const std::vector<quarantine::SuspectEntry>& aEntries);
+  /// Sends all crash suspects to a peer that keeps reporting others.
+  void CompareSuspects(Peer& aPeer, uint64_t aDigest);
+  void UpdateSuspectsDigest();
 
   asio::io_context& m_io;
   const NodeSettings m_settings;
@@ -238,6 +247,8 @@
   const std::vector<DaemonId> m_trialDaemons;
   /// Requests that were running when targets crashed.
   quarantine::QuarantineList m_quarantine;
+  /// See LoadReport::suspectsDigest.
+  uint64_t m_suspectsDigest = 1;
 };
 
 } // namespace wagtailbend::node
--- a/wagtailbend/node/traffic_node_test.cc
+++ b/wagtailbend/node/traffic_node_test.cc
@@ -153,6 +153,73 @@
   EXPECT_EQ(other.m_generation, 3U);
 }
 
+constexpr uint64_t kCrashing = 77;
+
+bool
+IsQuarantined(Process& aProcess)
+{
+  return !aProcess.m_node.IsRunAllowed(kCrashing);
+}
+
+// Guards against daemons that start and do not know the crash suspects of their
+// peers, whichever of the two connects.
+TEST(TrafficNodeTest, ANewProcessLearnsTheCrashSuspectsOfItsPeers)
+{
+  for (const bool peerConnects : { true, false }) {
+    Process peer(FreePort(), 1);
+    peer.m_node.OnTargetCrashed({ kCrashing });
+    peer.m_node.OnTargetCrashed({ kCrashing });
+    Process started(FreePort(), 2);
+    Process& connecting = peerConnects ? peer : started;
+    Process& other = peerConnects ? started : peer;
+    connecting.m_node.AddMembers({ other.m_node.Self() });
+    EXPECT_TRUE(
+      RunUntil(peer, started, [&started] { return IsQuarantined(started); }))
+      << peerConnects;
+  }
+}
+
+// Guards against daemons that are cut off from the one whose target crashed and
+// never learn of it from others.
+TEST(TrafficNodeTest, CrashSuspectsSpreadWithoutALinkToTheirSource)
+{
+  Process source(FreePort(), 1);
+  Process middle(FreePort(), 2);
+  Process cutOff(FreePort(), 3);
+  middle.m_node.AddMembers({ source.m_node.Self(), cutOff.m_node.Self() });
+  const auto linksUp = [&middle, &cutOff] {
+    cutOff.RunFor(5);
+    return middle.m_node.LinksUp() == 2;
+  };
+  ASSERT_TRUE(RunUntil(source, middle, linksUp));
+  source.m_node.OnTargetCrashed({ kCrashing });
+  source.m_node.OnTargetCrashed({ kCrashing });
+  EXPECT_TRUE(RunUntil(source, middle, [&cutOff] {
+    cutOff.RunFor(5);
+    return IsQuarantined(cutOff);
+  }));
+}
+
+// Guards against a request that is suspected for good after it was harmless.
+TEST(TrafficNodeTest, PeersLearnThatASuspectSurvived)
+{
+  Process local(FreePort(), 1);
+  Process peer(FreePort(), 2);
+  peer.m_node.AddMembers({ local.m_node.Self() });
+  ASSERT_TRUE(
+    RunUntil(local, peer, [&peer] { return peer.m_node.LinksUp() == 1; }));
+  local.m_node.OnTargetCrashed({ kCrashing });
+  ASSERT_TRUE(RunUntil(
+    local, peer, [&peer] { return !peer.m_node.MayResend(kCrashing); }));
+  exchange::Attempt attempt;
+  attempt.message = std::make_shared<http1::RequestMessage>();
+  attempt.fingerprint = kCrashing;
+  ASSERT_EQ(local.m_node.BeginRun(attempt), exchange::RunPermission::kRun);
+  local.m_node.EndRun(kCrashing, true);
+  EXPECT_TRUE(RunUntil(
+    local, peer, [&peer] { return peer.m_node.MayResend(kCrashing); }));
+}
+
 // Guards against replacing the configuration by an older one.
 TEST(TrafficNodeTest, KeepsANewerConfiguration)
 {
--- a/wagtailbend/quarantine/quarantine_list.cc
+++ b/wagtailbend/quarantine/quarantine_list.cc
@@ -185,6 +185,22 @@
   return entries;
 }
 
+uint64_t
+QuarantineList::Digest(TimePoint aNow) const
+{
+  uint64_t digest = 0;
+  for (const auto& [fingerprint, record] : m_records) {
+    if (record.expiresAt <= aNow) {
+      continue;
+    }
+    const auto& ids = record.entry.crashIds;
+    digest ^= XXH64(ids.data(),
+                    sizeof(ids),
+                    fingerprint + static_cast<uint64_t>(record.entry.cleared));
+  }
+  return digest | 1;
+}
+
 void
 QuarantineList::Expire(TimePoint aNow)
 {
--- a/wagtailbend/quarantine/quarantine_list.h
+++ b/wagtailbend/quarantine/quarantine_list.h
@@ -144,6 +144,9 @@
   void Merge(std::span<const SuspectEntry> aEntries, TimePoint aNow);
   /// Returns up to aMax entries to gossip, quarantined ones first.
   std::vector<SuspectEntry> Export(size_t aMax, TimePoint aNow) const;
+  /// Returns a number that is equal at two daemons that know the same entries,
+  /// whatever their order; never 0.
+  uint64_t Digest(TimePoint aNow) const;
   /// Removes expired entries.
   void Expire(TimePoint aNow);
 
