Count a crash when the daemon beside the target ends with it

What callers saw: when the daemon beside the target ended as the target crashed, nobody reported the request, and it crashed all seven targets of the service.

Cause: only that daemon watches its target. Its peers saw attempts end with an unknown outcome and told nobody; of a run for its own clients no other daemon knew at all.

A peer that has attempts at a process that ended reports them as suspects. A request that has survived a run since is not suspected again, and one run counts once.

Ruled out: telling all peers, or waiting for the confirmation of one, before each run (latency); suspecting what runs at a daemon that is only unreachable (freezes and partitions are common, and the daemon itself reports when it is back).

--- a/wagtailbend/exchange/attempt.h
+++ b/wagtailbend/exchange/attempt.h
@@ -40,6 +40,8 @@
   TimePoint deadline;
   std::string callerService;
   uint64_t fingerprint = 0;
+  /// Sent by the daemon of another VM.
+  bool fromPeer = false;
 };
 
 inline RetryClaim
--- a/wagtailbend/mesh/convert.cc
+++ b/wagtailbend/mesh/convert.cc
@@ -203,6 +203,7 @@
   attempt.objective = aNow + std::chrono::milliseconds(aMessage.objective_ms());
   attempt.callerService = aMessage.caller_service();
   attempt.fingerprint = aMessage.fingerprint();
+  attempt.fromPeer = true;
   return attempt;
 }
 
--- a/wagtailbend/mesh/mesh_test.cc
+++ b/wagtailbend/mesh/mesh_test.cc
@@ -63,6 +63,15 @@
   {
     m_suspects = aSuspects;
   }
+  void OnRunNotice(const std::string&, uint64_t aFingerprint) override
+  {
+    m_runNotices.push_back(aFingerprint);
+  }
+  void OnPeerEnded(const std::string&,
+                   const std::vector<uint64_t>& aFingerprints) override
+  {
+    m_lostRuns = aFingerprints;
+  }
   void OnLinkStateChange(const std::string&, std::string_view aReason) override
   {
     m_linkEvents.emplace_back(aReason);
@@ -74,6 +83,8 @@
   std::vector<quarantine::SuspectEntry> m_localSuspects;
   std::vector<quarantine::SuspectEntry> m_suspects;
   std::vector<std::string> m_linkEvents;
+  std::vector<uint64_t> m_runNotices;
+  std::vector<uint64_t> m_lostRuns;
   exchange::LoadReport m_report;
   bool m_allowConfigRequest = true;
   int m_configRequestChecks = 0;
--- a/wagtailbend/mesh/node_context.h
+++ b/wagtailbend/mesh/node_context.h
@@ -42,6 +42,14 @@
   virtual uint64_t SuspectsDigest() const = 0;
   virtual void OnCrashSuspects(
     const std::vector<quarantine::SuspectEntry>& aSuspects) = 0;
+  /// The member's daemon started to run a request of its own clients at its
+  /// target.
+  virtual void OnRunNotice(const std::string& aAddress,
+                           uint64_t aFingerprint) = 0;
+  /// The member's process ended, or was replaced by another one, while these
+  /// requests were at its target.
+  virtual void OnPeerEnded(const std::string& aAddress,
+                           const std::vector<uint64_t>& aFingerprints) = 0;
   /// Called when a link to a member comes up (aReason is empty) or goes down.
   virtual void OnLinkStateChange(const std::string& aAddress,
                                  std::string_view aReason) = 0;
--- a/wagtailbend/mesh/peer_link.cc
+++ b/wagtailbend/mesh/peer_link.cc
@@ -91,7 +91,7 @@
     m_phaseSince = now;
   }
   m_attempts.emplace(aAttempt.id,
-                     OpenAttempt{ std::move(aDone), aAttempt.idempotent });
+                     OpenAttempt{ std::move(aDone), aAttempt.fingerprint });
   wire::Frame frame;
   FillProto(aAttempt, now, *frame.mutable_attempt());
   m_stream->Send(frame);
@@ -213,9 +213,7 @@
         return;
       }
       if (aCode == asio::error::connection_refused) {
-        // The peer process has exited, so its attempts cannot complete.
-        link->FailOpenAttempts(ErrorKind::kConnectionLost,
-                               "peer process exited");
+        link->OnPeerEnded("peer process exited");
       }
       link->OnDisconnected("connect-failed");
     });
@@ -296,7 +294,7 @@
   m_pongPending = false;
   m_reconnectBackoff = {};
   if (m_incarnation != 0 && m_incarnation != member.incarnation) {
-    FailOpenAttempts(ErrorKind::kConnectionLost, "peer process restarted");
+    OnPeerEnded("peer process restarted");
   }
   m_incarnation = member.incarnation;
   // A restarted peer may have lost the configuration of its former process.
@@ -398,6 +396,18 @@
   }
 }
 
+void
+PeerLink::OnPeerEnded(const char* aDetail)
+{
+  std::vector<uint64_t> fingerprints;
+  for (const auto& [id, attempt] : m_attempts) {
+    fingerprints.push_back(attempt.fingerprint);
+  }
+  // Before the results, so that whoever gets one knows the suspects.
+  m_context.OnPeerEnded(m_address, fingerprints);
+  FailOpenAttempts(ErrorKind::kConnectionLost, aDetail);
+}
+
 void
 PeerLink::FailOpenAttempts(ErrorKind aKind, const char* aDetail)
 {
--- a/wagtailbend/mesh/peer_link.h
+++ b/wagtailbend/mesh/peer_link.h
@@ -82,7 +82,7 @@
   struct OpenAttempt
   {
     exchange::AttemptDone done;
-    bool idempotent = false;
+    uint64_t fingerprint = 0;
   };
   struct LifetimeGuard;
 
@@ -100,6 +100,8 @@
   /// it.
   void RequestNewerConfig();
   void FailOpenAttempts(ErrorKind aKind, const char* aDetail);
+  /// The peer's process has ended, so its attempts cannot complete.
+  void OnPeerEnded(const char* aDetail);
 
   asio::io_context& m_io;
   NodeContext& m_context;
--- a/wagtailbend/mesh/peer_server.cc
+++ b/wagtailbend/mesh/peer_server.cc
@@ -187,6 +187,10 @@
     case wire::Frame::kSuspects:
       m_context.OnCrashSuspects(FromProto(aFrame.suspects()));
       return;
+    case wire::Frame::kRunNotice:
+      m_context.OnRunNotice(aSession->peer.address,
+                            aFrame.run_notice().fingerprint());
+      return;
     default:
       return;
   }
--- a/wagtailbend/node/traffic_node.h
+++ b/wagtailbend/node/traffic_node.h
@@ -8,12 +8,14 @@
 #pragma once
 
 #include <array>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include <asio/io_context.hpp>
@@ -118,6 +120,9 @@
   uint64_t SuspectsDigest() const override { return m_suspectsDigest; }
   void OnCrashSuspects(
     const std::vector<quarantine::SuspectEntry>& aSuspects) override;
+  void OnRunNotice(const std::string& aAddress, uint64_t aFingerprint) override;
+  void OnPeerEnded(const std::string& aAddress,
+                   const std::vector<uint64_t>& aFingerprints) override;
   void OnLinkStateChange(const std::string& aAddress,
                          std::string_view aReason) override;
 
@@ -185,6 +190,8 @@
     /// Since when the peer reports other crash suspects than this daemon has.
     std::optional<TimePoint> suspectsDifferSince;
     TimePoint suspectsSentAt{};
+    /// Recent requests of the peer's own clients that it ran at its target.
+    std::deque<std::pair<TimePoint, uint64_t>> runNotices;
     /// When the link was last up or the member record last changed.
     TimePoint lastUpAt{};
     /// Mean run time at the target by route.
@@ -212,6 +219,10 @@
   /// Sends all crash suspects to a peer that keeps reporting others.
   void CompareSuspects(Peer& aPeer, uint64_t aDigest);
   void UpdateSuspectsDigest();
+  /// Tells a peer that a request of a local client runs at the local target.
+  void SendRunNotice(uint64_t aFingerprint);
+  /// Returns the peer that is told of such runs, or nullptr.
+  Peer* Witness();
 
   asio::io_context& m_io;
   const NodeSettings m_settings;
@@ -249,6 +260,9 @@
   quarantine::QuarantineList m_quarantine;
   /// See LoadReport::suspectsDigest.
   uint64_t m_suspectsDigest = 1;
+  std::string m_witness;
+  /// When processes of peers last ended during runs.
+  std::deque<TimePoint> m_peerEnds;
 };
 
 } // namespace wagtailbend::node
--- a/wagtailbend/node/traffic_node_test.cc
+++ b/wagtailbend/node/traffic_node_test.cc
@@ -200,6 +200,46 @@
   }));
 }
 
+exchange::Attempt
+LocalAttempt()
+{
+  exchange::Attempt attempt;
+  attempt.message = std::make_shared<http1::RequestMessage>();
+  attempt.fingerprint = kCrashing;
+  return attempt;
+}
+
+// Guards against a crash that nobody counts because the daemon beside the
+// target, which alone knew of the run, ended with it.
+TEST(TrafficNodeTest, APeerKnowsTheRunsOfADaemonThatEnds)
+{
+  const uint16_t port = FreePort();
+  Process witness(FreePort(), 1);
+  for (const uint64_t incarnation : { 2U, 3U }) {
+    std::this_thread::sleep_for(milliseconds(2));
+    {
+      Process ending(port, incarnation);
+      witness.m_node.AddMembers({ ending.m_node.Self() });
+      ending.m_node.AddMembers({ witness.m_node.Self() });
+      ASSERT_TRUE(RunUntil(witness, ending, [&] {
+        return witness.m_node.LinksUp() == 1 && ending.m_node.LinksUp() == 1;
+      }));
+      ASSERT_EQ(ending.m_node.BeginRun(LocalAttempt()),
+                exchange::RunPermission::kRun);
+      ending.RunFor(5);
+    }
+    Process restarted(port, incarnation + 10);
+    const bool isFirst = incarnation == 2;
+    EXPECT_TRUE(RunUntil(witness,
+                         restarted,
+                         [&witness, isFirst] {
+                           return isFirst ? !witness.m_node.MayResend(kCrashing)
+                                          : IsQuarantined(witness);
+                         }))
+      << incarnation;
+  }
+}
+
 // Guards against a request that is suspected for good after it was harmless.
 TEST(TrafficNodeTest, PeersLearnThatASuspectSurvived)
 {
@@ -211,10 +251,8 @@
   local.m_node.OnTargetCrashed({ kCrashing });
   ASSERT_TRUE(RunUntil(
     local, peer, [&peer] { return !peer.m_node.MayResend(kCrashing); }));
-  exchange::Attempt attempt;
-  attempt.message = std::make_shared<http1::RequestMessage>();
-  attempt.fingerprint = kCrashing;
-  ASSERT_EQ(local.m_node.BeginRun(attempt), exchange::RunPermission::kRun);
+  ASSERT_EQ(local.m_node.BeginRun(LocalAttempt()),
+            exchange::RunPermission::kRun);
   local.m_node.EndRun(kCrashing, true);
   EXPECT_TRUE(RunUntil(
     local, peer, [&peer] { return peer.m_node.MayResend(kCrashing); }));
--- a/wagtailbend/quarantine/quarantine_list.cc
+++ b/wagtailbend/quarantine/quarantine_list.cc
@@ -137,6 +137,21 @@
   return AddLoss(aFingerprint, aNow, aRng);
 }
 
+std::optional<SuspectEntry>
+QuarantineList::OnDaemonLost(uint64_t aFingerprint,
+                             TimePoint aStartedAt,
+                             TimePoint aNow,
+                             Rng& aRng)
+{
+  const Record* record = Find(aFingerprint, aNow);
+  if (record != nullptr &&
+      (record->entry.cleared ||
+       record->expiresAt - m_limits.lifetime >= aStartedAt)) {
+    return std::nullopt;
+  }
+  return AddLoss(aFingerprint, aNow, aRng);
+}
+
 TimePoint
 QuarantineList::EarliestResponseTime(TimePoint aLostAt) const
 {
--- a/wagtailbend/quarantine/quarantine_list.h
+++ b/wagtailbend/quarantine/quarantine_list.h
@@ -135,6 +135,14 @@
   SuspectEntry OnTrialConnectionLost(uint64_t aFingerprint,
                                      TimePoint aNow,
                                      Rng& aRng);
+  /// Records that a daemon ended while its target ran the request, since
+  /// aStartedAt. Counts as a target crash, unless one is known since then or
+  /// the request has survived a run after it was first suspected. Returns the
+  /// entry to gossip if it changed.
+  std::optional<SuspectEntry> OnDaemonLost(uint64_t aFingerprint,
+                                           TimePoint aStartedAt,
+                                           TimePoint aNow,
+                                           Rng& aRng);
   /// Returns the earliest time for the response to a request that was lost with
   /// its target, so that its sender cannot retry before all peers know of the
   /// crash.
--- a/wagtailbend/quarantine/quarantine_list_test.cc
+++ b/wagtailbend/quarantine/quarantine_list_test.cc
@@ -201,5 +201,28 @@
   EXPECT_TRUE(list.BeginTrial(3, self, kNow));
 }
 
+// Guards against counting one crash twice, by the daemon beside the target and
+// by a peer when that daemon ends, and against suspecting what survived a run.
+TEST(QuarantineList, ALostDaemonCountsOnceForEachRun)
+{
+  Rng rng(1);
+  QuarantineList list(SelectedDaemon());
+  const TimePoint later = kNow + std::chrono::seconds(1);
+  EXPECT_TRUE(list.OnDaemonLost(kCrashingRequest, kNow, later, rng));
+  EXPECT_FALSE(list.OnDaemonLost(kCrashingRequest, kNow, later, rng));
+  EXPECT_EQ(list.Check(kCrashingRequest, kLive, later).kind,
+            QuarantineAction::kTrialHere);
+  EXPECT_TRUE(list.OnDaemonLost(
+    kCrashingRequest, later + minutes(1), later + minutes(1), rng));
+  EXPECT_EQ(list.Check(kCrashingRequest, kLive, later + minutes(1)).kind,
+            QuarantineAction::kQuarantined);
+
+  QuarantineList other(SelectedDaemon());
+  CrashTarget(other, { kCrashingRequest }, rng);
+  ASSERT_TRUE(other.BeginTrial(kCrashingRequest, kLive, kNow));
+  other.EndTrial(kCrashingRequest, true, kNow);
+  EXPECT_FALSE(other.OnDaemonLost(kCrashingRequest, later, later, rng));
+}
+
 } // namespace
 } // namespace wagtailbend::quarantine
