Test responses that end within their header section

A report of another operator: a target stopped in the middle of its response's header section and closed, and clients got a 200 with an empty or short body.

This cannot happen here: the end of a connection completes a response only in the body of one without a length (ResponseParser::FeedEndOfStream), and responses are passed on when they are complete. The test cuts ten shapes at each position, by close and by reset: with a length, chunked, without a length, without a body, after an interim response and after a response to another request. No case is taken for a response.

--- a/wagtailbend/http1/client_connection_test.cc
+++ b/wagtailbend/http1/client_connection_test.cc
@@ -191,5 +191,67 @@
   EXPECT_FALSE(Connect());
 }
 
+struct CutHeadCase
+{
+  const char* name;
+  /// Sent before the header section that is cut.
+  std::string before;
+  std::string head;
+  After after;
+};
+
+class CutHeadTest
+  : public ClientConnectionTest
+  , public ::testing::WithParamInterface<CutHeadCase>
+{};
+
+// Guards against a response that ends within its header section and is passed
+// on as complete.
+TEST_P(CutHeadTest, IsNoResponse)
+{
+  const CutHeadCase& cut = GetParam();
+  for (size_t length = 0; length < cut.head.size(); ++length) {
+    m_server.AddResponse(cut.before + cut.head.substr(0, length), cut.after);
+    ASSERT_TRUE(Connect());
+    const auto result = SendRequest("a");
+    ASSERT_TRUE(result) << length;
+    EXPECT_TRUE(std::holds_alternative<NoResponse>(*result)) << length;
+    EXPECT_FALSE(m_connection->IsReady()) << length;
+  }
+}
+
+constexpr const char* kHeadWithLength =
+  "HTTP/1.1 200 OK\r\nContent-Length: 12\r\nId: a\r\n\r\n";
+constexpr const char* kChunkedHead =
+  "HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n";
+constexpr const char* kHeadWithoutLength =
+  "HTTP/1.1 200 OK\r\nId: a\r\nSeal: s\r\n\r\n";
+constexpr const char* kEmptyHead = "HTTP/1.1 204 No Content\r\nId: a\r\n\r\n";
+constexpr const char* kInterimHead = "HTTP/1.1 100 Continue\r\n\r\n";
+constexpr const char* kOtherResponse =
+  "HTTP/1.1 200 OK\r\nId: old\r\nContent-Length: 2\r\n\r\nok";
+
+INSTANTIATE_TEST_SUITE_P(
+  Shapes,
+  CutHeadTest,
+  ::testing::Values(
+    CutHeadCase{ "LengthClosed", "", kHeadWithLength, After::kClose },
+    CutHeadCase{ "LengthReset", "", kHeadWithLength, After::kReset },
+    CutHeadCase{ "ChunkedClosed", "", kChunkedHead, After::kClose },
+    CutHeadCase{ "ChunkedReset", "", kChunkedHead, After::kReset },
+    CutHeadCase{ "NoLengthClosed", "", kHeadWithoutLength, After::kClose },
+    CutHeadCase{ "NoLengthReset", "", kHeadWithoutLength, After::kReset },
+    CutHeadCase{ "EmptyClosed", "", kEmptyHead, After::kClose },
+    CutHeadCase{ "AfterInterim", kInterimHead, kHeadWithLength, After::kClose },
+    CutHeadCase{ "AfterInterimNoLength",
+                 kInterimHead,
+                 kHeadWithoutLength,
+                 After::kClose },
+    CutHeadCase{ "AfterOtherResponse",
+                 kOtherResponse,
+                 kHeadWithoutLength,
+                 After::kClose }),
+  [](const auto& aInfo) { return aInfo.param.name; });
+
 } // namespace
 } // namespace wagtailbend::http1
