Play requests that crash their targets in the emulator

Load: targets that are half busy, and a lookup and an order that crash each target which runs them, sent twelve times each through one VM after another.

The emulator runs QuarantineList itself, with the limits of the daemon.

--- a/programs/wagtail_sim.cc
+++ b/programs/wagtail_sim.cc
@@ -35,6 +35,7 @@
   { "no-return-time", { .spread = false } },
   { "no-memory", { .remembered = false } },
   { "no-ration", { .rationed = false } },
+  { "no-quarantine", { .quarantined = false } },
   { "plain", emulator::kPlain },
 };
 
@@ -70,12 +71,15 @@
   const double count = static_cast<double>(aOutcomes.size());
   double value = 0;
   double wasted = 0;
+  double crashes = 0;
   for (const Outcome& outcome : aOutcomes) {
     value += outcome.value / count;
     wasted += outcome.wasted / count;
+    crashes += outcome.crashes / count;
   }
   summary["value"] = value;
   summary["wasted"] = wasted;
+  summary["crashes"] = crashes;
   for (size_t i = 0; i < aWorld.routes.size(); ++i) {
     double offered = 0;
     double onTime = 0;
@@ -98,10 +102,11 @@
 PrintTable(const nlohmann::json& aSummaries)
 {
   for (const nlohmann::json& summary : aSummaries) {
-    std::cout << fmt::format("{:<16} value {:.3f} wasted {:.3f}",
+    std::cout << fmt::format("{:<16} value {:.3f} wasted {:.3f} crashes {:.1f}",
                              summary["policy"].get<std::string>(),
                              summary["value"].get<double>(),
-                             summary["wasted"].get<double>());
+                             summary["wasted"].get<double>(),
+                             summary["crashes"].get<double>());
     for (const auto& [route, shares] : summary["routes"].items()) {
       std::cout << fmt::format("  {} {:.2f}+{:.2f}",
                                route,
@@ -153,7 +158,7 @@
     cxxopts::value<uint64_t>()->default_value("8"))(
     "policy",
     "product, no-levels, no-order, no-placement, no-return-time, no-memory, "
-    "no-ration, plain or all",
+    "no-ration, no-quarantine, plain or all",
     cxxopts::value<std::string>()->default_value("all"))(
     "json", "print JSON instead of a table")("version", "print the version")(
     "help", "print this help");
--- a/wagtailbend/emulator/emulator.cc
+++ b/wagtailbend/emulator/emulator.cc
@@ -32,6 +32,11 @@
 constexpr uint32_t kMaxImportantRepeats = 4;
 // Targets that one request may be sent to.
 constexpr size_t kMaxAttempts = 2;
+// Time from the crash of a target until its daemon knows of it; as in the
+// daemon.
+constexpr Duration kCrashDetectionTime = std::chrono::milliseconds(50);
+// Crash suspects that run at one target at a time; as in the daemon.
+constexpr size_t kMaxConcurrentTrials = 4;
 // Time in which a target rejects, with the message to it on the same VM.
 constexpr Duration kShedTime = std::chrono::milliseconds(1);
 
@@ -55,13 +60,25 @@
     std::unordered_map<size_t, Duration> runs;
   };
 
-  Vm()
-    : retries({ kRetryRatio, kRetryExtra, kEntryRetryPart })
+  explicit Vm(size_t aIndex)
+    : index(aIndex)
+    , self{ { std::to_string(aIndex), 1 } }
+    , suspects(self.front(),
+               { .lifetime = std::chrono::minutes(2),
+                 .maxConcurrentTrials = kMaxConcurrentTrials })
+    , retries({ kRetryRatio, kRetryExtra, kEntryRetryPart })
     , targetRetries({ kRetryRatio, kRetryExtra, kTargetRetryPart })
   {
   }
 
   size_t index = 0;
+  /// The daemons that may run trials here.
+  std::vector<DaemonId> self;
+  quarantine::QuarantineList suspects;
+  std::vector<RequestPtr> waitingSuspects;
+  std::map<uint64_t, RequestPtr> running;
+  /// The target is down until then.
+  TimePoint downUntil{};
   size_t domain = 0;
   size_t service = 0;
   double speed = 1;
@@ -107,6 +124,10 @@
   size_t call = 0;
   uint32_t callTimes = 0;
   double level = 1;
+  /// Restart time of the targets that it crashes; 0: it crashes none.
+  Duration crashRestart{};
+  uint64_t fingerprint = 0;
+  bool mayHaveRun = false;
   std::function<void(Ending)> done;
 };
 
@@ -135,8 +156,7 @@
     size_t made = 0;
     for (size_t domain = 0; domain < m_world.domains.size(); ++domain) {
       for (uint32_t i = 0; i < spec.perDomain; ++i) {
-        auto vm = std::make_unique<Vm>();
-        vm->index = m_vms.size();
+        auto vm = std::make_unique<Vm>(m_vms.size());
         vm->domain = domain;
         vm->service = service;
         vm->speed = spec.speeds[made++ % spec.speeds.size()];
@@ -217,12 +237,133 @@
   }
 }
 
+void
+Emulator::ScheduleCrashingRequests()
+{
+  for (const CrashingRequest& crashing : m_world.crashes) {
+    for (uint32_t i = 0; i < crashing.times; ++i) {
+      At(kBegin + crashing.begin + i * crashing.interval, [this, &crashing, i] {
+        SendCrashingRequest(crashing, i % m_vms.size());
+      });
+    }
+  }
+}
+
+void
+Emulator::SendCrashingRequest(const CrashingRequest& aCrashing, size_t aVm)
+{
+  const RequestPtr request = MakeRequest(aCrashing.route, aVm, m_now);
+  // Ids of requests are below the number of events.
+  request->fingerprint =
+    ~static_cast<uint64_t>(&aCrashing - m_world.crashes.data());
+  request->crashRestart = aCrashing.restart;
+  Place(request);
+}
+
+bool
+Emulator::IsQuarantined(size_t aVm, const Request& aRequest) const
+{
+  const Vm& vm = *m_vms[aVm];
+  return m_policy.quarantined &&
+         vm.suspects.Check(aRequest.fingerprint, vm.self, m_now).kind ==
+           quarantine::QuarantineAction::kQuarantined;
+}
+
+bool
+Emulator::BeginRun(const RequestPtr& aRequest)
+{
+  Vm& vm = *m_vms[aRequest->target];
+  if (m_now < vm.downUntil || IsQuarantined(vm.index, *aRequest)) {
+    vm.queue.Finish(aRequest->id, {}, false);
+    Rejected(aRequest);
+    return false;
+  }
+  const bool isSuspect =
+    m_policy.quarantined &&
+    vm.suspects.Check(aRequest->fingerprint, vm.self, m_now).kind ==
+      quarantine::QuarantineAction::kTrialHere;
+  if (isSuspect &&
+      !vm.suspects.BeginTrial(aRequest->fingerprint, vm.self, m_now)) {
+    vm.waitingSuspects.push_back(aRequest);
+    return false;
+  }
+  return true;
+}
+
+void
+Emulator::RunWaitingSuspects(Vm& aVm)
+{
+  for (const RequestPtr& request : std::exchange(aVm.waitingSuspects, {})) {
+    if (request->ended) {
+      aVm.queue.Finish(request->id, {}, false);
+      continue;
+    }
+    Begin(request);
+  }
+}
+
+void
+Emulator::CrashTarget(Vm& aVm, Duration aRestart)
+{
+  ++m_outcome.crashes;
+  aVm.downUntil = m_now + aRestart;
+  std::vector<RequestPtr> running;
+  for (const auto& [id, request] : std::exchange(aVm.running, {})) {
+    running.push_back(request);
+  }
+  for (const RequestPtr& request : running) {
+    Leave(request, Ending::kFailed);
+  }
+  At(m_now + kCrashDetectionTime,
+     [this, &aVm, running] { OnCrashDetected(aVm, running); });
+}
+
+void
+Emulator::OnCrashDetected(Vm& aVm, const std::vector<RequestPtr>& aRunning)
+{
+  if (m_policy.quarantined) {
+    std::vector<uint64_t> fingerprints;
+    for (const RequestPtr& request : aRunning) {
+      fingerprints.push_back(request->fingerprint);
+    }
+    SendSuspects(aVm, aVm.suspects.OnTargetCrashed(fingerprints, m_now, m_rng));
+  }
+  for (const RequestPtr& request : aRunning) {
+    if (request->ended) {
+      continue;
+    }
+    request->tried.push_back(aVm.index);
+    request->mayHaveRun = true;
+    const bool retried = m_world.routes[request->route].idempotent &&
+                         request->arrivals < kMaxAttempts &&
+                         TryTakeRetry(m_vms[request->entry]->retries, *request);
+    At(m_now + Delay(aVm.index, request->entry), [this, request, retried] {
+      if (retried && !request->ended) {
+        Place(request);
+      } else {
+        Reply(request, Ending::kFailed);
+      }
+    });
+  }
+}
+
+void
+Emulator::SendSuspects(const Vm& aFrom,
+                       const std::vector<quarantine::SuspectEntry>& aEntries)
+{
+  for (const auto& vm : m_vms) {
+    At(m_now + Delay(aFrom.index, vm->index),
+       [this, &vm, aEntries] { vm->suspects.Merge(aEntries, m_now); });
+  }
+}
+
 Emulator::RequestPtr
 Emulator::MakeRequest(size_t aRoute, size_t aVm, TimePoint aFirst)
 {
   const RouteLoad& route = m_world.routes[aRoute];
   auto request = std::make_shared<Request>();
   request->id = ++m_nextId;
+  request->fingerprint = request->id;
   request->route = aRoute;
   request->entry = aVm;
   request->first = aFirst;
@@ -374,6 +515,10 @@
 void
 Emulator::Place(const RequestPtr& aRequest)
 {
+  if (IsQuarantined(aRequest->entry, *aRequest)) {
+    Reply(aRequest, aRequest->mayHaveRun ? Ending::kFailed : Ending::kRejected);
+    return;
+  }
   std::vector<size_t> vms;
   const auto candidates = Candidates(*aRequest, vms);
   if (candidates.empty()) {
@@ -452,7 +597,11 @@
 Emulator::Begin(const RequestPtr& aRequest)
 {
   Vm& vm = *m_vms[aRequest->target];
+  if (!BeginRun(aRequest)) {
+    return;
+  }
   ++vm.busy;
+  vm.running.emplace(aRequest->id, aRequest);
   aRequest->running = true;
   aRequest->startedAt = m_now;
   aRequest->shed = 0;
@@ -474,6 +623,10 @@
   const bool shed = IsShed(vm);
   vm.failureShare +=
     kFailureSampleShare * ((shed ? 1.0 : 0.0) - vm.failureShare);
+  if (aRequest->crashRestart > Duration{}) {
+    CrashTarget(vm, aRequest->crashRestart);
+    return;
+  }
   if (!shed) {
     NextCall(aRequest);
     return;
@@ -619,6 +772,11 @@
     return;
   }
   --vm.busy;
+  vm.running.erase(aRequest->id);
+  if (const auto entry = vm.suspects.EndTrial(
+        aRequest->fingerprint, aEnding == Ending::kAnswered, m_now)) {
+    SendSuspects(vm, { *entry });
+  }
   const Duration held = m_now - aRequest->startedAt;
   m_slotTime += Seconds(held);
   if (aEnding == Ending::kAnswered) {
@@ -714,11 +872,13 @@
   BuildVms();
   ScheduleArrivals();
   ScheduleLimits();
+  ScheduleCrashingRequests();
   const TimePoint end = kBegin + m_world.length + std::chrono::seconds(12);
   for (TimePoint at = kBegin; at < end; at += kTick) {
     At(at, [this] {
       for (const auto& vm : m_vms) {
         Advance(*vm);
+        RunWaitingSuspects(*vm);
       }
     });
   }
--- a/wagtailbend/emulator/emulator.h
+++ b/wagtailbend/emulator/emulator.h
@@ -25,6 +25,7 @@
 #include "wagtailbend/exchange/service_levels.h"
 #include "wagtailbend/gate/target_queue.h"
 #include "wagtailbend/placement/placement.h"
+#include "wagtailbend/quarantine/quarantine_list.h"
 
 namespace wagtailbend::emulator {
 
@@ -47,12 +48,17 @@
   /// Repeats at targets that reject go to important requests first; otherwise
   /// to whoever asks while the allowance lasts.
   bool rationed = true;
+  /// Requests that were running when targets crashed run a few at a time, and
+  /// are rejected after two crashes; otherwise they are sent on like others.
+  bool quarantined = true;
 
   bool operator==(const Policy&) const = default;
 };
 
 inline constexpr Policy kProduct{};
-inline constexpr Policy kPlain{ false, false, false, false, false, false };
+inline constexpr Policy kPlain{
+  false, false, false, false, false, false, false
+};
 
 struct RouteOutcome
 {
@@ -77,6 +83,8 @@
   double value = 0;
   /// Slot time of runs that ended without an answer, as a share of all.
   double wasted = 0;
+  /// Crashes of targets by requests.
+  uint32_t crashes = 0;
 
   bool operator==(const Outcome&) const = default;
 };
@@ -120,6 +128,16 @@
   void BuildVms();
   void ScheduleArrivals();
   void ScheduleLimits();
+  void ScheduleCrashingRequests();
+  void SendCrashingRequest(const CrashingRequest& aCrashing, size_t aVm);
+  bool IsQuarantined(size_t aVm, const Request& aRequest) const;
+  /// Returns false if the request was rejected or has to wait.
+  bool BeginRun(const RequestPtr& aRequest);
+  void RunWaitingSuspects(Vm& aVm);
+  void CrashTarget(Vm& aVm, Duration aRestart);
+  void OnCrashDetected(Vm& aVm, const std::vector<RequestPtr>& aRunning);
+  void SendSuspects(const Vm& aFrom,
+                    const std::vector<quarantine::SuspectEntry>& aEntries);
   void SetLimit(const RateLimit& aLimit, std::optional<double> aPerSecond);
   double RateFactor(TimePoint aTime) const;
   void Customer(size_t aRoute, size_t aVm, TimePoint aFirst, uint32_t aReturns);
--- a/wagtailbend/emulator/emulator_test.cc
+++ b/wagtailbend/emulator/emulator_test.cc
@@ -133,5 +133,20 @@
   EXPECT_GT(outcome.routes[kOrder].ServedShare(), 0.99);
 }
 
+// Load: half of the capacity, beside one lookup and one order that crash their
+// targets and are sent again twelve times each. Guards against losing more than
+// two targets to each, and against rejecting what ran beside them.
+TEST(EmulatorTest, ACrashingRequestCostsTwoTargets)
+{
+  const World world = ReadExperiment("crashing_requests.json");
+  for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    const Outcome outcome = Emulator(world, kProduct, seed).Run();
+    EXPECT_LE(outcome.crashes, 4U) << seed;
+    EXPECT_GE(outcome.crashes, 2U) << seed;
+    EXPECT_GT(outcome.value, 0.98) << seed;
+    EXPECT_GT(Emulator(world, kPlain, seed).Run().crashes, 10U) << seed;
+  }
+}
+
 } // namespace
 } // namespace wagtailbend::emulator
--- a/wagtailbend/emulator/world.cc
+++ b/wagtailbend/emulator/world.cc
@@ -104,6 +104,16 @@
           limit.at("per_second").get<double>(),
           limit.value("share", 1.0) });
     }
+    for (const Json& crash : json.value("crashes", Json::array())) {
+      CrashingRequest request;
+      request.route =
+        IndexOf(json.at("routes"), crash.at("route").get<std::string>());
+      request.begin = Ms(crash, "begin_ms", request.begin);
+      request.interval = Ms(crash, "interval_ms", request.interval);
+      request.times = crash.value("times", request.times);
+      request.restart = Ms(crash, "restart_ms", request.restart);
+      world.crashes.push_back(request);
+    }
     world.betweenDomains = Ms(json, "between_domains_ms", world.betweenDomains);
     world.betweenRegions = Ms(json, "between_regions_ms", world.betweenRegions);
     world.swing = json.value("swing", world.swing);
--- a/wagtailbend/emulator/world.h
+++ b/wagtailbend/emulator/world.h
@@ -101,6 +101,20 @@
   bool operator==(const RateLimit&) const = default;
 };
 
+/// A request of a route that crashes each target that runs it, and is sent
+/// again through one VM after the other.
+struct CrashingRequest
+{
+  size_t route = 0;
+  Duration begin{};
+  Duration interval = std::chrono::milliseconds(700);
+  uint32_t times = 1;
+  /// Time from a crash until the target serves again.
+  Duration restart = std::chrono::milliseconds(2500);
+
+  bool operator==(const CrashingRequest&) const = default;
+};
+
 struct World
 {
   std::vector<Domain> domains;
@@ -109,6 +123,7 @@
   std::vector<Surge> surges;
   std::vector<Shedding> sheddings;
   std::vector<RateLimit> limits;
+  std::vector<CrashingRequest> crashes;
   /// One-way delays.
   Duration betweenDomains = std::chrono::milliseconds(1);
   Duration betweenRegions = std::chrono::milliseconds(30);
