Skip member rows that no daemon wrote

A row with a port out of range, or with a start time far ahead, was taken for a daemon: it counted as a peer, and a start time of 2^64 - 1 superseded each later process of its address. Such rows are logged as unreadable and left out.

LeavesOutEntriesOfOtherWriters failed before.

--- a/wagtailbend/node/member_store.cc
+++ b/wagtailbend/node/member_store.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "wagtailbend/mesh/convert.h"
+#include "wagtailbend/net/socket_options.h"
 #include "wagtailbend/observability/event_log.h"
 
 namespace wagtailbend::node {
@@ -18,6 +19,17 @@
 // costs few calls and all rows are stored within 2 s of its end.
 constexpr Duration kFirstRetryDelay = std::chrono::milliseconds(300);
 constexpr Duration kMaxRetryDelay = std::chrono::milliseconds(1200);
+// A start time further ahead would supersede all later processes of its
+// address.
+constexpr uint64_t kMaxClockDifferenceMs = 24ULL * 60 * 60 * 1000;
+
+/// Returns false for a row that another writer left.
+bool
+IsMemberRecord(const mesh::wire::MemberRecord& aRecord, const std::string& aKey)
+{
+  return aRecord.address() == aKey && net::ParseEndpoint(aKey) &&
+         aRecord.started_ms() <= UnixMilliseconds() + kMaxClockDifferenceMs;
+}
 
 } // namespace
 
@@ -350,7 +362,8 @@
   for (const store::Row& row : GetValue(rows)) {
     m_rowVersions[row.key] = row.version;
     mesh::wire::MemberRecord record;
-    if (!record.ParseFromString(row.value) || record.address() != row.key) {
+    if (!record.ParseFromString(row.value) ||
+        !IsMemberRecord(record, row.key)) {
       observability::Event("member_unreadable").Add("key", row.key).Warn();
       continue;
     }
--- a/wagtailbend/node/member_store_test.cc
+++ b/wagtailbend/node/member_store_test.cc
@@ -1,5 +1,7 @@
 #include "wagtailbend/node/member_store.h"
 
+#include <limits>
+
 #include <gtest/gtest.h>
 
 #include "testing/fakes/in_memory_platform.h"
@@ -87,6 +89,32 @@
   EXPECT_EQ(Stored(kLocalAddress), MakeMember(kLocalAddress, 1));
 }
 
+// Guards against following entries of another writer.
+TEST_F(MemberStoreTest, LeavesOutEntriesOfOtherWriters)
+{
+  const auto write = [this](mesh::Member aMember) {
+    Write(aMember.address, mesh::ToProto(aMember).SerializeAsString());
+  };
+  write(MakeMember("10.0.0.2:7", 1));
+  write(MakeMember("10.0.0.3:99999", 1));
+  write(MakeMember("10.0.0.4:0", 1));
+  write(MakeMember("no address", 1));
+  mesh::Member future = MakeMember("10.0.0.5:7", 1);
+  future.startTimeMs = std::numeric_limits<uint64_t>::max();
+  write(future);
+  Write("10.0.0.6:7", std::string(100000, '['));
+  Write("10.0.0.7:7", R"({"address":"10.0.0.7:7","started_ms":1e999})");
+  m_store.Put(MakeMember(kLocalAddress, 1), nullptr);
+  m_store.Start();
+  EXPECT_TRUE(WaitFor([this] { return !m_members.empty(); }));
+  std::vector<std::string> addresses;
+  for (const mesh::Member& member : m_members) {
+    addresses.push_back(member.address);
+  }
+  EXPECT_EQ(addresses,
+            (std::vector<std::string>{ kLocalAddress, "10.0.0.2:7" }));
+}
+
 // Guards against a daemon that does not know its peers for a whole read
 // interval because its first read failed.
 TEST_F(MemberStoreTest, RetriesSoonAfterAFailedRead)
