--- a/testing/fault_proxy.cc
+++ b/testing/fault_proxy.cc
@@ -111,7 +111,8 @@
 };
 
 FaultProxy::FaultProxy(const std::string& aHost, const std::string& aTarget)
-  : m_target(EndpointOf(aTarget))
+  : m_work(m_io.get_executor())
+  , m_target(EndpointOf(aTarget))
   , m_acceptor(m_io, tcp::endpoint(asio::ip::make_address(aHost), 0))
   , m_endpoint(m_acceptor.local_endpoint())
   , m_address(aHost + ":" + std::to_string(m_endpoint.port()))
--- a/testing/fault_proxy.h
+++ b/testing/fault_proxy.h
@@ -13,6 +13,7 @@
 #include <string>
 #include <thread>
 
+#include <asio/executor_work_guard.hpp>
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 
@@ -60,6 +61,8 @@
   void Listen();
 
   asio::io_context m_io;
+  /// Keeps the thread running while nothing listens.
+  asio::executor_work_guard<asio::io_context::executor_type> m_work;
   const asio::ip::tcp::endpoint m_target;
   asio::ip::tcp::acceptor m_acceptor;
   const asio::ip::tcp::endpoint m_endpoint;
