Move the suspicion of runs at ended daemons to a class without a network

Which runs become suspects when a process ends was decided in TrafficNode, beside sockets and logs. Runs at members that were removed are forgotten, too. The decisions are the same.

--- a/wagtailbend/node/traffic_node.cc
+++ b/wagtailbend/node/traffic_node.cc
@@ -62,16 +62,6 @@
 constexpr Duration kSuspectsSettleTime = std::chrono::milliseconds(500);
 constexpr Duration kSuspectsSendInterval = std::chrono::seconds(2);
 
-// Runs that a daemon began within this time before its last one may be the
-// cause of its end.
-constexpr Duration kRunNoticeWindow = std::chrono::seconds(1);
-// A peer that ended without closing its connections is noticed in this time.
-constexpr Duration kPeerEndDetectionTime = std::chrono::seconds(5);
-// A request crashes one target at a time. If more processes than this end
-// within the window, the cause is another one.
-constexpr size_t kMaxIsolatedPeerEnds = 2;
-constexpr Duration kPeerEndWindow = std::chrono::seconds(1);
-
 // Shares of the retry budget: for retries at other targets, chosen by the
 // request dispatcher, and for retries at the local target after a rejection.
 constexpr double kDispatcherRetryShare = 0.3;
@@ -450,6 +440,7 @@
     if (!stopped) {
       unreachable.push_back(current->first);
     }
+    m_peerRuns.Forget(current->first);
     m_peers.erase(current);
   }
   UpdateDaemonCounts();
@@ -697,53 +688,33 @@
 void
 TrafficNode::OnRunNotice(const std::string& aAddress, uint64_t aFingerprint)
 {
-  Peer* peer = FindPeer(aAddress);
-  if (peer == nullptr) {
-    return;
-  }
-  const TimePoint now = BootNow();
-  peer->runNotices.emplace_back(now, aFingerprint);
-  while (now - peer->runNotices.front().first > kRunNoticeWindow) {
-    peer->runNotices.pop_front();
-  }
+  m_peerRuns.OnRunNotice(aAddress, aFingerprint, BootNow());
 }
 
 void
 TrafficNode::OnPeerEnded(const std::string& aAddress,
                          const std::vector<uint64_t>& aFingerprints)
 {
-  Peer* peer = FindPeer(aAddress);
-  if (peer == nullptr) {
+  const Peer* peer = FindPeer(aAddress);
+  if (peer == nullptr || peer->member.stopTimeMs != 0) {
+    m_peerRuns.Forget(aAddress);
     return;
   }
   const TimePoint now = BootNow();
-  auto lostRuns = std::exchange(peer->runNotices, {});
-  std::erase_if(lostRuns, [now](const auto& aRun) {
-    return now - aRun.first > kPeerEndDetectionTime;
-  });
-  for (const uint64_t fingerprint : aFingerprints) {
-    lostRuns.emplace_back(now, fingerprint);
-  }
-  if (lostRuns.empty() || peer->member.stopTimeMs != 0) {
+  const quarantine::PeerEnd end =
+    m_peerRuns.OnPeerEnded(aAddress, aFingerprints, now);
+  if (end.lostRuns == 0) {
     return;
   }
-  while (!m_peerEnds.empty() && now - m_peerEnds.front() > kPeerEndWindow) {
-    m_peerEnds.pop_front();
-  }
-  m_peerEnds.push_back(now);
-  const bool isolated = m_peerEnds.size() <= kMaxIsolatedPeerEnds;
   Event("peer_ended")
     .Add("member", aAddress)
-    .Add("in_flight", lostRuns.size())
-    .Add("suspected", isolated ? "true" : "false")
+    .Add("in_flight", end.lostRuns)
+    .Add("suspected", end.suspects.size())
     .Warn();
-  if (!isolated) {
-    return;
-  }
   std::vector<quarantine::SuspectEntry> entries;
-  for (const auto& [startedAt, fingerprint] : lostRuns) {
-    if (const auto entry =
-          m_quarantine.OnDaemonLost(fingerprint, startedAt, now, m_rng)) {
+  for (const quarantine::LostRun& run : end.suspects) {
+    if (const auto entry = m_quarantine.OnDaemonLost(
+          run.fingerprint, run.startedAt, now, m_rng)) {
       entries.push_back(*entry);
     }
   }
--- a/wagtailbend/node/traffic_node.h
+++ b/wagtailbend/node/traffic_node.h
@@ -8,14 +8,12 @@
 #pragma once
 
 #include <array>
-#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
-#include <utility>
 #include <vector>
 
 #include <asio/io_context.hpp>
@@ -31,6 +29,7 @@
 #include "wagtailbend/node/node_settings.h"
 #include "wagtailbend/node/traffic_log.h"
 #include "wagtailbend/node/traffic_metrics.h"
+#include "wagtailbend/quarantine/peer_runs.h"
 #include "wagtailbend/quarantine/quarantine_list.h"
 #include "wagtailbend/routes/route_table.h"
 
@@ -190,8 +189,6 @@
     /// Since when the peer reports other crash suspects than this daemon has.
     std::optional<TimePoint> suspectsDifferSince;
     TimePoint suspectsSentAt{};
-    /// Recent requests of the peer's own clients that it ran at its target.
-    std::deque<std::pair<TimePoint, uint64_t>> runNotices;
     /// When the link was last up or the member record last changed.
     TimePoint lastUpAt{};
     /// Mean run time at the target by route.
@@ -260,9 +257,9 @@
   quarantine::QuarantineList m_quarantine;
   /// See LoadReport::suspectsDigest.
   uint64_t m_suspectsDigest = 1;
+  /// See Witness.
   std::string m_witness;
-  /// When processes of peers last ended during runs.
-  std::deque<TimePoint> m_peerEnds;
+  quarantine::PeerRuns m_peerRuns;
 };
 
 } // namespace wagtailbend::node
