--- a/wagtailbend/node/traffic_node.cc
+++ b/wagtailbend/node/traffic_node.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include <fmt/format.h>
+#include <fmt/ranges.h>
 
 #include "wagtailbend/base/boot_time.h"
 #include "wagtailbend/base/ids.h"
@@ -92,11 +93,11 @@
 FormatFingerprints(const std::vector<uint64_t>& aFingerprints)
 {
   constexpr size_t kMaxLogged = 8;
-  std::string text;
+  std::vector<std::string> texts;
   for (size_t i = 0; i < std::min(aFingerprints.size(), kMaxLogged); ++i) {
-    text += (i == 0 ? "" : ",") + ToHex(aFingerprints[i]);
+    texts.push_back(ToHex(aFingerprints[i]));
   }
-  return text;
+  return fmt::format("{}", fmt::join(texts, ","));
 }
 
 exchange::GatewayOptions
