Call a lookup that was sent twice "not run" only if neither send ran

A lookup whose kept connection was lost is sent again on a new connection. If the target rejected that, the lookup counted as not run, although the first send may have run. ARejectedResendMayHaveRun failed before.

--- a/wagtailbend/exchange/target_gateway.cc
+++ b/wagtailbend/exchange/target_gateway.cc
@@ -497,7 +497,7 @@
     if (!misdirected && TryRetryLocally(aKey)) {
       return;
     }
-    result.outcome = Outcome::kNotRun;
+    result.outcome = pending.mayHaveRun ? Outcome::kUnknown : Outcome::kNotRun;
     result.error = { misdirected ? ErrorKind::kStaleIncarnation
                                  : ErrorKind::kOverloaded,
                      "target rejected the request with status " +
--- a/wagtailbend/exchange/target_gateway_test.cc
+++ b/wagtailbend/exchange/target_gateway_test.cc
@@ -312,6 +312,18 @@
   EXPECT_TRUE(m_observer.m_crashedFingerprints.empty());
 }
 
+// Guards against "not run" for a lookup that an earlier send may have run.
+TEST_F(TargetGatewayTest, ARejectedResendMayHaveRun)
+{
+  m_server.AddResponse(Ok("x"));
+  RunOne(MakeAttempt(1));
+  m_results.clear();
+  m_server.AddResponse("", After::kReset);
+  m_server.AddResponse("HTTP/1.1 503 No\r\nId: {id}\r\nNot-Run: 1\r\n"
+                       "Content-Length: 0\r\n\r\n");
+  EXPECT_EQ(RunOne(MakeAttempt(2)).outcome, Outcome::kUnknown);
+}
+
 // Guards against sending a request again that meanwhile became a suspect.
 TEST_F(TargetGatewayTest, ASuspectIsNotSentAgain)
 {
