--- a/wagtailbend/emulator/emulator.cc
+++ b/wagtailbend/emulator/emulator.cc
@@ -323,6 +323,7 @@
 {
   if (m_policy.quarantined) {
     std::vector<uint64_t> fingerprints;
+    fingerprints.reserve(aRunning.size());
     for (const RequestPtr& request : aRunning) {
       fingerprints.push_back(request->fingerprint);
     }
