--- a/wagtailbend/node/member_store_test.cc
+++ b/wagtailbend/node/member_store_test.cc
@@ -92,7 +92,7 @@
 // Guards against following entries of another writer.
 TEST_F(MemberStoreTest, LeavesOutEntriesOfOtherWriters)
 {
-  const auto write = [this](mesh::Member aMember) {
+  const auto write = [this](const mesh::Member& aMember) {
     Write(aMember.address, mesh::ToProto(aMember).SerializeAsString());
   };
   write(MakeMember("10.0.0.2:7", 1));
