Send nothing again to a target that is leaving

A lookup that was lost on a kept connection was sent again on a new one although the target had said meanwhile that it is leaving. ALeavingTargetGetsNoResend failed before.

--- a/wagtailbend/exchange/target_gateway.cc
+++ b/wagtailbend/exchange/target_gateway.cc
@@ -657,7 +657,9 @@
 bool
 TargetGateway::MayResend(const PendingAttempt& aPending) const
 {
-  return m_observer.MayResend(aPending.attempt.fingerprint);
+  const bool leaving =
+    !m_view.accepting || targets::IsCovered(m_view.run, m_leavingRun);
+  return !leaving && m_observer.MayResend(aPending.attempt.fingerprint);
 }
 
 void
--- a/wagtailbend/exchange/target_gateway_test.cc
+++ b/wagtailbend/exchange/target_gateway_test.cc
@@ -324,6 +324,23 @@
   EXPECT_EQ(RunOne(MakeAttempt(2)).outcome, Outcome::kUnknown);
 }
 
+// Guards against new work for a target that is leaving.
+TEST_F(TargetGatewayTest, ALeavingTargetGetsNoResend)
+{
+  m_server.AddResponse(Ok("x"));
+  RunOne(MakeAttempt(1));
+  m_results.clear();
+  m_server.AddResponse("", After::kReset);
+  m_server.AddResponse(Ok("y"));
+  Start(MakeAttempt(2));
+  RunFor(10);
+  m_gateway->RecordLeaving({ "t-1", 5 });
+  TickFor(200);
+  ASSERT_EQ(m_results.size(), 1U);
+  EXPECT_EQ(m_results[0].outcome, Outcome::kUnknown);
+  EXPECT_EQ(m_server.Requests().size(), 2U);
+}
+
 // Guards against sending a request again that meanwhile became a suspect.
 TEST_F(TargetGatewayTest, ASuspectIsNotSentAgain)
 {
