--- a/review/common/fleet.cc
+++ b/review/common/fleet.cc
@@ -160,7 +160,7 @@
         { "Rows", services } } },
     { "Limits",
       { { "MaxHeaderBytes", 16384 },
-        { "MaxBodyBytes", 1048576 },
+        { "MaxBodyBytes", 67108864 },
         { "HeaderTimeoutMs", 3000 },
         { "IdleTimeoutMs", 15000 } } }
   };
@@ -266,6 +266,16 @@
   return runs;
 }
 
+void
+Fleet::RecordRuns() const
+{
+  for (const Run& run : Runs()) {
+    m_record.Add("ran " + run.id + " " + run.path + " from " +
+                 std::to_string(run.startedMs) + " ms, answered at " +
+                 std::to_string(run.answeredMs) + " ms");
+  }
+}
+
 std::string
 MakeRequest(const std::string& aMethod,
             const std::string& aPath,
--- a/review/common/fleet.h
+++ b/review/common/fleet.h
@@ -73,6 +73,8 @@
   int ClientPort() const { return m_basePort; }
   /// Runs of all servers.
   std::vector<Run> Runs() const;
+  /// Adds the runs of all servers to the record.
+  void RecordRuns() const;
 
 private:
   std::string SettingsOf(const Machine& aMachine) const;
--- a/review/common/server.cc
+++ b/review/common/server.cc
@@ -1,5 +1,6 @@
 #include "review/common/server.h"
 
+#include <algorithm>
 #include <charconv>
 #include <utility>
 
@@ -18,6 +19,7 @@
 constexpr auto kIdleTimeout = std::chrono::seconds(10);
 constexpr auto kAcknowledgeTimeout = std::chrono::seconds(1);
 constexpr int kPollMs = 50;
+constexpr size_t kReadBytes = 64UL * 1024;
 
 /// Returns the number that the query of aPath gives aName, or aDefault.
 int64_t
@@ -139,10 +141,31 @@
   m_connections.erase(aDescriptor);
 }
 
+bool
+Server::ReadBody(Connection& aConnection, size_t aBytes) const
+{
+  const auto begin = Clock::now();
+  for (size_t read = 0; read < aBytes;) {
+    const size_t count = aConnection.Skip(std::min(kReadBytes, aBytes - read),
+                                          Clock::now() + kIdleTimeout);
+    if (count == 0) {
+      return false;
+    }
+    read += count;
+    std::this_thread::sleep_until(
+      begin +
+      std::chrono::duration_cast<Clock::duration>(
+        std::chrono::duration<double>(static_cast<double>(read) / m_bodyRate)));
+  }
+  return true;
+}
+
 bool
 Server::Answer(Connection& aConnection, const Head& aHead)
 {
-  aConnection.ReadBody(aHead.ContentLength(), Clock::now() + kIdleTimeout);
+  if (!ReadBody(aConnection, aHead.ContentLength())) {
+    return false;
+  }
   const std::string id = aHead.Header("attempt-id");
   const size_t space = aHead.startLine.find(' ');
   const std::string path =
--- a/review/common/server.h
+++ b/review/common/server.h
@@ -56,11 +56,15 @@
 
   bool Start();
   void Stop();
+  /// From now on reads the bodies of requests at this rate.
+  void ReadBodiesAt(double aBytesPerSecond) { m_bodyRate = aBytesPerSecond; }
   std::vector<Run> Runs() const;
 
 private:
   void Accept();
   void Serve(int aDescriptor);
+  /// Returns false if the connection ended first.
+  bool ReadBody(Connection& aConnection, size_t aBytes) const;
   /// Returns false if the connection ended.
   bool Answer(Connection& aConnection, const Head& aHead);
   void SendHeartbeats();
@@ -70,6 +74,8 @@
   const std::string m_id;
   const int64_t m_bornMs;
   std::atomic<bool> m_stopping{ false };
+  /// Bytes per second.
+  std::atomic<double> m_bodyRate{ 1e9 };
   std::atomic<int> m_serving{ 0 };
   int m_listener = -1;
   std::thread m_acceptor;
