--- a/review/common/small_requests.cc
+++ b/review/common/small_requests.cc
@@ -13,7 +13,7 @@
 constexpr double kBytesPerSecond = 1e9;
 constexpr auto kConnectDelay = milliseconds(100);
 // The servers work for 300 ms.
-constexpr const char* kPath = "/balance/a?work=300";
+constexpr const char* kPath = "/small/a?work=300";
 
 } // namespace
 
