--- a/review/common/server.cc
+++ b/review/common/server.cc
@@ -19,6 +19,7 @@
 constexpr auto kIdleTimeout = std::chrono::seconds(10);
 constexpr auto kAcknowledgeTimeout = std::chrono::seconds(1);
 constexpr int kPollMs = 50;
+constexpr int kRestartMs = 2500;
 constexpr size_t kReadBytes = 64UL * 1024;
 
 /// Returns the number that the query of aPath gives aName, or aDefault.
@@ -45,12 +46,18 @@
     .count();
 }
 
+std::string
+NewId()
+{
+  return "i-" + std::to_string(ThreadRng()());
+}
+
 } // namespace
 
 Server::Server(ServerOptions aOptions, Record& aRecord)
   : m_options(std::move(aOptions))
   , m_record(aRecord)
-  , m_id("i-" + std::to_string(ThreadRng()()))
+  , m_id(NewId())
   , m_bornMs(UnixMs())
 {
 }
@@ -107,6 +114,10 @@
 Server::Accept()
 {
   while (!m_stopping) {
+    if (m_crashed) {
+      Restart();
+      continue;
+    }
     pollfd request{ m_listener, POLLIN, 0 };
     if (poll(&request, 1, kPollMs) <= 0) {
       continue;
@@ -123,6 +134,51 @@
   }
 }
 
+void
+Server::Crash(const std::string& aId)
+{
+  const std::lock_guard lock(m_mutex);
+  if (m_crashed.exchange(true)) {
+    return;
+  }
+  m_crashTimes.push_back(m_record.MillisecondsSinceStart());
+  m_record.Add("server at " + m_options.host + " crashes by " + aId);
+  shutdown(m_listener, SHUT_RDWR);
+  for (const int descriptor : m_connections) {
+    shutdown(descriptor, SHUT_RDWR);
+  }
+}
+
+void
+Server::Restart()
+{
+  Connection(std::exchange(m_listener, -1)).Close();
+  for (int slept = 0; slept < kRestartMs && !m_stopping; slept += kPollMs) {
+    std::this_thread::sleep_for(milliseconds(kPollMs));
+  }
+  {
+    const std::lock_guard lock(m_mutex);
+    m_id = NewId();
+    m_bornMs = UnixMs();
+  }
+  m_listener = ListenOn(m_options.host, m_options.port);
+  m_crashed = false;
+}
+
+std::string
+Server::Id() const
+{
+  const std::lock_guard lock(m_mutex);
+  return m_id;
+}
+
+std::vector<int64_t>
+Server::CrashTimes() const
+{
+  const std::lock_guard lock(m_mutex);
+  return m_crashTimes;
+}
+
 void
 Server::Serve(int aDescriptor)
 {
@@ -171,7 +227,7 @@
   const std::string path =
     aHead.startLine.substr(space + 1, aHead.startLine.rfind(' ') - space - 1);
   const std::string expected = aHead.Header("expected-instance");
-  if (!expected.empty() && expected != m_id) {
+  if (!expected.empty() && expected != Id()) {
     return aConnection.SendAll("HTTP/1.1 421 Misdirected Request\r\n"
                                "Attempt-Id: " +
                                id + "\r\nContent-Length: 0\r\n\r\n");
@@ -182,6 +238,10 @@
     number = m_runs.size();
     m_runs.push_back({ id, path, m_record.MillisecondsSinceStart(), -1 });
   }
+  if (path.find(kCrashingPath) != std::string::npos) {
+    Crash(id);
+    return false;
+  }
   std::this_thread::sleep_for(milliseconds(QueryNumber(path, "work", 10)));
   const std::string body(static_cast<size_t>(QueryNumber(path, "size", 100)),
                          'x');
@@ -203,6 +263,11 @@
 {
   int sequence = 0;
   while (!m_stopping) {
+    if (m_crashed) {
+      std::this_thread::sleep_for(milliseconds(kPollMs));
+      continue;
+    }
+    const std::string serverId = Id();
     const nlohmann::json beat = {
       { "Address", m_options.host + ":" + std::to_string(m_options.port) },
       { "born", m_bornMs },
@@ -217,14 +282,16 @@
           { "ColdRemainingMs", 0 } } }
     };
     const std::string body = beat.dump();
+    std::string request =
+      "POST /v1/instances/" + serverId + "/heartbeat HTTP/1.1\r\n";
+    request +=
+      "Host: daemon\r\nContent-Type: application/json\r\nContent-Length: ";
+    request += std::to_string(body.size());
+    request += "\r\n\r\n";
+    request += body;
     Connection connection =
       Connection::To(m_options.host, m_options.controlPort, 0);
-    if (connection.IsOpen() &&
-        connection.SendAll("POST /v1/instances/" + m_id +
-                           "/heartbeat HTTP/1.1\r\nHost: daemon\r\n"
-                           "Content-Type: application/json\r\n"
-                           "Content-Length: " +
-                           std::to_string(body.size()) + "\r\n\r\n" + body)) {
+    if (connection.IsOpen() && connection.SendAll(request)) {
       connection.ReadHead(Clock::now() + kAcknowledgeTimeout);
     }
     for (int slept = 0; slept < m_options.beatMs && !m_stopping;
--- a/review/common/server.h
+++ b/review/common/server.h
@@ -44,6 +44,9 @@
   bool operator==(const Run&) const = default;
 };
 
+/// A request whose path contains this text crashes the server that runs it.
+inline constexpr const char* kCrashingPath = "/crash/";
+
 /// Answers a request after the milliseconds that `work=` of its query names,
 /// with as many bytes as `size=` names. Thread-safe.
 class Server
@@ -59,6 +62,8 @@
   /// From now on reads the bodies of requests at this rate.
   void ReadBodiesAt(double aBytesPerSecond) { m_bodyRate = aBytesPerSecond; }
   std::vector<Run> Runs() const;
+  /// Times of the crashes, in milliseconds since the start of the record.
+  std::vector<int64_t> CrashTimes() const;
 
 private:
   void Accept();
@@ -68,19 +73,27 @@
   /// Returns false if the connection ended.
   bool Answer(Connection& aConnection, const Head& aHead);
   void SendHeartbeats();
+  /// Ends all connections and starts to refuse new ones.
+  void Crash(const std::string& aId);
+  /// Starts again some seconds after a crash.
+  void Restart();
+  std::string Id() const;
 
   const ServerOptions m_options;
   Record& m_record;
-  const std::string m_id;
-  const int64_t m_bornMs;
   std::atomic<bool> m_stopping{ false };
   /// Bytes per second.
   std::atomic<double> m_bodyRate{ 1e9 };
   std::atomic<int> m_serving{ 0 };
+  std::atomic<bool> m_crashed{ false };
   int m_listener = -1;
   std::thread m_acceptor;
   std::thread m_heartbeats;
   mutable std::mutex m_mutex;
+  /// New after each crash.
+  std::string m_id;
+  int64_t m_bornMs = 0;
+  std::vector<int64_t> m_crashTimes;
   std::vector<Run> m_runs;
   std::set<int> m_connections;
 };
