--- a/review/common/small_requests.cc
+++ b/review/common/small_requests.cc
@@ -11,7 +11,7 @@
 constexpr int kClients = 12;
 constexpr int kDeadlineMs = 5000;
 constexpr double kBytesPerSecond = 1e9;
-constexpr auto kConnectDelay = milliseconds(100);
+constexpr auto kRetryDelay = milliseconds(100);
 // The servers work for 300 ms.
 constexpr const char* kPath = "/small/a?work=300";
 
@@ -56,7 +56,7 @@
       isKept = false;
     }
     if (!connection.IsOpen()) {
-      std::this_thread::sleep_for(kConnectDelay);
+      std::this_thread::sleep_for(kRetryDelay);
       continue;
     }
     const std::string id = MakeAttemptId();
@@ -69,6 +69,9 @@
       m_record.Add("client of " + id + ": " + answer.Describe());
       connection.Close();
     }
+    if (answer.status != 200) {
+      std::this_thread::sleep_for(kRetryDelay);
+    }
     if (std::exchange(isKept, true)) {
       const std::lock_guard lock(m_mutex);
       m_requests.push_back({ id, answer.end, answer.status });
