Treat a status outside 100 to 599 as no response

Callers saw: a target in trouble answered with status 000, and the client received "HTTP/1.1 0 Nothing" with the target's signature and body: passed on, and written as another status. 001 and 099 likewise; 600 and 999 were passed on unchanged.

Boost.Beast takes any three digits for a status (parse_status), and nothing behind it checked the range. RFC 9110, section 15: codes outside 100 to 599 are invalid.

Why it works: IsStatusCode (http1/response_syntax.h) decides in the response parser, at the status line, so that such bytes fail like any malformed response: the connection is closed, lookups may be sent again within the retry budget, orders end as 502.

FaultProxy::AnswerWith lets a test answer raw bytes in place of a target.

--- a/testing/fault_proxy.cc
+++ b/testing/fault_proxy.cc
@@ -1,6 +1,8 @@
 #include "testing/fault_proxy.h"
 
 #include <array>
+#include <future>
+#include <utility>
 #include <vector>
 
 #include <asio/ip/address.hpp>
@@ -81,6 +83,11 @@
           return;
         }
         const ProxyFault fault = self->m_proxy.m_fault;
+        if (self->m_proxy.m_answer && &aFrom == &self->m_client) {
+          self->SendAnswer(std::string(buffer->data(), aBytes));
+          self->Pass(aFrom, aTo, aCut);
+          return;
+        }
         if (self->m_silent || fault == aCut) {
           self->Pass(aFrom, aTo, aCut);
           return;
@@ -104,6 +111,19 @@
       });
   }
 
+  void SendAnswer(const std::string& aRequest)
+  {
+    auto bytes = std::make_shared<std::string>(m_proxy.m_answer(aRequest));
+    asio::async_write(
+      m_client,
+      asio::buffer(*bytes),
+      [self = shared_from_this(), bytes](const std::error_code& aCode, size_t) {
+        if (aCode) {
+          self->End(false);
+        }
+      });
+  }
+
   FaultProxy& m_proxy;
   tcp::socket m_client;
   tcp::socket m_server;
@@ -150,6 +170,17 @@
   });
 }
 
+void
+FaultProxy::AnswerWith(Answer aAnswer)
+{
+  std::promise<void> taken;
+  asio::post(m_io, [this, &aAnswer, &taken] {
+    m_answer = std::move(aAnswer);
+    taken.set_value();
+  });
+  taken.get_future().wait();
+}
+
 void
 FaultProxy::Listen()
 {
--- a/testing/fault_proxy.h
+++ b/testing/fault_proxy.h
@@ -3,11 +3,13 @@
 //   FaultProxy proxy("127.0.0.1", target);
 //   proxy.Set(ProxyFault::kSilent);     // open connections; new ones work
 //   proxy.Set(ProxyFault::kNone);
+//   proxy.AnswerWith([](const std::string& aRequest) { return "garbage"; });
 
 #pragma once
 
 #include <atomic>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <set>
 #include <string>
@@ -41,10 +43,13 @@
 /// runs; kRefuse is not one of them.
 inline constexpr size_t kProxyFaults = 6;
 
-/// Set is thread-safe.
+/// Set and AnswerWith are thread-safe.
 class FaultProxy
 {
 public:
+  /// Returns the bytes to send to the client for bytes that it sent.
+  using Answer = std::function<std::string(const std::string&)>;
+
   /// Listens on a free port of aHost and connects to aTarget (IPv4:port).
   FaultProxy(const std::string& aHost, const std::string& aTarget);
   ~FaultProxy();
@@ -53,6 +58,9 @@
 
   std::string Address() const { return m_address; }
   void Set(ProxyFault aFault);
+  /// From now on aAnswer, called on the proxy's thread, answers the clients in
+  /// place of the server, which gets nothing. Null: the server answers again.
+  void AnswerWith(Answer aAnswer);
 
 private:
   class Session;
@@ -68,6 +76,7 @@
   const asio::ip::tcp::endpoint m_endpoint;
   const std::string m_address;
   std::atomic<ProxyFault> m_fault{ ProxyFault::kNone };
+  Answer m_answer;
   std::set<std::shared_ptr<Session>> m_sessions;
   std::thread m_thread;
 };
--- a/wagtailbend/http1/parser.cc
+++ b/wagtailbend/http1/parser.cc
@@ -10,6 +10,8 @@
 #include <boost/beast/http/basic_parser.hpp>
 #include <boost/beast/http/error.hpp>
 
+#include "wagtailbend/http1/response_syntax.h"
+
 namespace wagtailbend::http1 {
 namespace {
 
@@ -287,6 +289,9 @@
                         ErrorCode& aCode) override
   {
     aCode = {};
+    if (!IsStatusCode(aStatus)) {
+      SetError(aCode, http::error::bad_status);
+    }
     m_status = aStatus;
     m_reason = ToStringView(aReason);
   }
--- a/wagtailbend/http1/parser.h
+++ b/wagtailbend/http1/parser.h
@@ -9,7 +9,8 @@
 // Stricter than Beast where two recipients could frame a message differently,
 // which allows request smuggling: a transfer coding other than `chunked`, a
 // transfer coding together with Content-Length, and a repeated Host header are
-// errors. Trailer fields are dropped. Chunk extensions and trailers are limited
+// errors. A response whose status is none (see response_syntax.h) is an error as
+// well. Trailer fields are dropped. Chunk extensions and trailers are limited
 // to a multiple of the header limit and of the body's size.
 
 #pragma once
