Treat a response with a folded header line as no response

Callers saw: a target in trouble sent a header line that began with a blank or a tab, and the client received a 200. The line had become part of the value before it, the signature among them; if it was a framing header, the body was not the target's: the bytes that frame the chunks came as body.

Boost.Beast joins such a line (obs-fold) to the line before. RFC 9112, section 5.2, lets a gateway either do that or discard the response; since senders in trouble mean a header of its own, joining is wrong.

Why it works: HasFoldedLine (http1/response_syntax.h) looks at each line that the parser takes as framing, header or trailer; the parser runs without `eager` so that these lines and the bytes of the body come from separate calls. Bodies and chunks that begin with a blank stay valid (ValidResponseTest, cut at each byte). Requests are parsed as before.

--- a/wagtailbend/http1/parser.cc
+++ b/wagtailbend/http1/parser.cc
@@ -58,7 +58,8 @@
   {
     this->header_limit(aLimits.maxHeaderBytes);
     this->body_limit(aLimits.maxBodyBytes);
-    this->eager(true);
+    // Each call of put parses either framing and headers or a part of the body.
+    this->eager(false);
   }
 
   ParseProgress FeedBytes(std::string_view aBytes)
@@ -104,9 +105,15 @@
     ErrorCode code;
     while (progress.consumed < aBytes.size() && !this->is_done()) {
       const std::string_view rest = aBytes.substr(progress.consumed);
+      const size_t bodyBytes = m_body.size();
       const size_t parsedBytes =
         this->put(boost::asio::buffer(rest.data(), rest.size()), code);
       progress.consumed += parsedBytes;
+      if (!isRequest && m_body.size() == bodyBytes &&
+          HasFoldedLine(rest.substr(0, parsedBytes))) {
+        progress.state = ParseState::kMalformed;
+        return progress;
+      }
       if (code == http::make_error_code(http::error::need_more)) {
         code = {};
         if (parsedBytes == 0) {
--- a/wagtailbend/http1/parser.h
+++ b/wagtailbend/http1/parser.h
@@ -9,9 +9,10 @@
 // Stricter than Beast where two recipients could frame a message differently,
 // which allows request smuggling: a transfer coding other than `chunked`, a
 // transfer coding together with Content-Length, and a repeated Host header are
-// errors. A response whose status is none (see response_syntax.h) is an error as
-// well. Trailer fields are dropped. Chunk extensions and trailers are limited
-// to a multiple of the header limit and of the body's size.
+// errors. In responses, an invalid status and a folded line (see
+// response_syntax.h) are errors as well. Trailer fields are dropped. Chunk
+// extensions and trailers are limited to a multiple of the header limit and of
+// the body's size.
 
 #pragma once
 
