--- a/wagtailbend/http1/response_syntax.h
+++ b/wagtailbend/http1/response_syntax.h
@@ -1,14 +1,18 @@
 // What a response is by RFC 9112 and RFC 9110, for everything that reads
 // responses.
 //
-//   if (!IsStatusCode(status)) {
-//     // The bytes received are no response.
+//   if (!IsFinalResponse(result.response)) {
+//     // What the peer sent is no response.
 //   }
+//
+// ResponseParser applies these rules to bytes.
 
 #pragma once
 
 #include <string_view>
 
+#include "wagtailbend/http1/message.h"
+
 namespace wagtailbend::http1 {
 
 /// Returns whether aStatus is a status code of HTTP: 100 to 599. Thread-safe.
@@ -22,4 +26,11 @@
 bool
 HasFoldedLine(std::string_view aLines);
 
+/// Returns whether aResponse, which was not parsed from HTTP, can be sent as
+/// the final response to a request: its status code is not an interim one,
+/// header names are tokens, and values and the reason have no control bytes but
+/// tabs. Thread-safe.
+bool
+IsFinalResponse(const ResponseMessage& aResponse);
+
 } // namespace wagtailbend::http1
--- a/wagtailbend/mesh/convert.cc
+++ b/wagtailbend/mesh/convert.cc
@@ -5,6 +5,8 @@
 #include <limits>
 #include <utility>
 
+#include "wagtailbend/http1/response_syntax.h"
+
 namespace wagtailbend::mesh {
 namespace {
 
@@ -258,6 +260,12 @@
     result.response.headers = MoveHeaders(aMessage);
     result.response.body = std::move(*aMessage.mutable_body());
     result.response.bodiless = aMessage.bodiless();
+    if (!http1::IsFinalResponse(result.response)) {
+      result.outcome = exchange::Outcome::kUnknown;
+      result.response = {};
+      result.error = { ErrorKind::kResponseMismatch,
+                       "the peer's result is no valid response" };
+    }
   } else {
     result.error = {
       ErrorKindFromName(aMessage.error()).value_or(ErrorKind::kInternal),
--- a/wagtailbend/mesh/mesh_test.cc
+++ b/wagtailbend/mesh/mesh_test.cc
@@ -505,5 +505,82 @@
   EXPECT_TRUE(IsNewer(restarted, later));
 }
 
+struct PeerResultCase
+{
+  const char* name;
+  http1::ResponseMessage response;
+  exchange::Outcome outcome;
+};
+
+class PeerResultTest : public ::testing::TestWithParam<PeerResultCase>
+{};
+
+// Guards against passing on a peer's result that is no response, such as one of
+// a daemon of another version that reads targets less strictly.
+TEST_P(PeerResultTest, IsCheckedLikeAResponse)
+{
+  exchange::AttemptResult sent;
+  sent.outcome = exchange::Outcome::kResponded;
+  sent.reachedTarget = true;
+  sent.response = GetParam().response;
+  wire::Result message;
+  FillProto(sent, message);
+  const exchange::AttemptResult received = MoveFromProto(message);
+  EXPECT_EQ(received.outcome, GetParam().outcome);
+  EXPECT_TRUE(received.reachedTarget);
+}
+
+http1::ResponseMessage
+MakeResponse(int aStatus,
+             http1::Headers aHeaders = {},
+             std::string aReason = "")
+{
+  http1::ResponseMessage response;
+  response.status = aStatus;
+  response.reason = std::move(aReason);
+  response.headers = std::move(aHeaders);
+  return response;
+}
+
+PeerResultCase
+InvalidResult(const char* aName, int aStatus, http1::Headers aHeaders = {})
+{
+  return { aName,
+           MakeResponse(aStatus, std::move(aHeaders)),
+           exchange::Outcome::kUnknown };
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Table,
+  PeerResultTest,
+  ::testing::Values(
+    PeerResultCase{
+      "Valid",
+      MakeResponse(200, { { "A-1!", "x\ty\xe9" }, { "B", "" } }, "O\tK"),
+      exchange::Outcome::kResponded },
+    PeerResultCase{ "Failed",
+                    MakeResponse(599),
+                    exchange::Outcome::kResponded },
+    InvalidResult("NoStatus", 0),
+    InvalidResult("NegativeStatus", -1),
+    InvalidResult("StatusBelowTheRange", 99),
+    InvalidResult("InterimStatus", 103),
+    InvalidResult("StatusAboveTheRange", 600),
+    InvalidResult("NoName", 200, { { "", "x" } }),
+    InvalidResult("BlankInName", 200, { { "A B", "x" } }),
+    InvalidResult("BlankBeforeName", 200, { { " A", "x" } }),
+    InvalidResult("BlankAfterName", 200, { { "A ", "x" } }),
+    InvalidResult("ColonInName", 200, { { "A:B", "x" } }),
+    InvalidResult("ControlByteInName", 200, { { "A\x01", "x" } }),
+    InvalidResult("DeleteInName", 200, { { "A\x7f", "x" } }),
+    InvalidResult("NonAsciiName", 200, { { "A\xe9", "x" } }),
+    InvalidResult("NulInValue", 200, { { "A", std::string("x\0", 2) } }),
+    InvalidResult("LineEndInValue", 200, { { "A", "x\r\nB: y" } }),
+    InvalidResult("SecondInvalid", 200, { { "A", "x" }, { "B\n", "y" } }),
+    PeerResultCase{ "LineEndInReason",
+                    MakeResponse(200, {}, "OK\r\nA: x"),
+                    exchange::Outcome::kUnknown }),
+  [](const auto& aInfo) { return aInfo.param.name; });
+
 } // namespace
 } // namespace wagtailbend::mesh
