--- a/wagtailbend/http1/client_connection.cc
+++ b/wagtailbend/http1/client_connection.cc
@@ -39,6 +39,7 @@
   { FailureReason::kResponseTooLarge, "response-too-large", true },
   { FailureReason::kReceiveBudgetExhausted, "receive-budget-exhausted", true },
   { FailureReason::kUnexpectedBytes, "unexpected-bytes", true },
+  { FailureReason::kInterrupted, "interrupted", false },
 };
 
 const ReasonTraits&
@@ -66,6 +67,7 @@
                                    std::shared_ptr<ReceiveBudget> aBudget)
   : m_socket(aIo)
   , m_timer(aIo)
+  , m_progressTimer(aIo)
   , m_writer(
       m_socket,
       [] {},
@@ -129,6 +131,7 @@
     StartTimer(m_request.timeout, FailureReason::kTimeout);
   }
   m_writer.Write(std::exchange(m_request.bytes, {}), shared_from_this());
+  RestartProgressTimer();
   WaitReadable();
 }
 
@@ -141,6 +144,7 @@
   m_onResult = nullptr;
   m_onIdleClosed = nullptr;
   m_timer.cancel();
+  m_progressTimer.cancel();
   std::error_code ignored;
   m_socket.close(ignored);
 }
@@ -205,6 +209,7 @@
 ClientConnection::AcceptReceived(size_t aBytes)
 {
   m_responseStarted = true;
+  RestartProgressTimer();
   if (!m_received.Grow(aBytes)) {
     OnConnectionEnd(FailureReason::kReceiveBudgetExhausted, false);
     return false;
@@ -311,6 +316,7 @@
 {
   auto done = std::exchange(m_onResult, nullptr);
   m_timer.cancel();
+  m_progressTimer.cancel();
   m_received.Release();
   m_parser.reset();
   // Do not reuse the connection if bytes follow the response, or if the server
@@ -341,6 +347,28 @@
     });
 }
 
+void
+ClientConnection::RestartProgressTimer()
+{
+  if (m_request.progressTimeout == Duration{}) {
+    return;
+  }
+  m_progressTimer.expires_after(m_request.progressTimeout);
+  m_progressTimer.async_wait(
+    [weak = weak_from_this(),
+     sentBytes = m_writer.SentBytes()](const std::error_code& aCode) {
+      const auto self = weak.lock();
+      if (aCode || !self) {
+        return;
+      }
+      if (self->m_writer.SentBytes() != sentBytes) {
+        self->RestartProgressTimer();
+        return;
+      }
+      self->OnConnectionEnd(FailureReason::kTimeout, false);
+    });
+}
+
 void
 ClientConnection::ParseKeepAlive(const Headers& aHeaders)
 {
--- a/wagtailbend/http1/client_connection.h
+++ b/wagtailbend/http1/client_connection.h
@@ -57,6 +57,8 @@
   kReceiveBudgetExhausted,
   /// Bytes arrived while no request was pending.
   kUnexpectedBytes,
+  /// The caller gave the request up.
+  kInterrupted,
 };
 
 /// Returns a short name for logs, such as "connection-lost". Thread-safe.
@@ -96,6 +98,9 @@
   /// The request fails if no complete response arrives in this time. Zero means
   /// no limit.
   Duration timeout{};
+  /// The request fails if no byte is sent or received for this time. Zero means
+  /// no limit.
+  Duration progressTimeout{};
 };
 
 /// Not thread-safe. Must be used only on the thread that runs the io_context.
@@ -158,10 +163,12 @@
   bool HandleResponse();
   void Finish(ClientResult aResult, bool aReuse);
   void StartTimer(Duration aTimeout, FailureReason aReason);
+  void RestartProgressTimer();
   void ParseKeepAlive(const Headers& aHeaders);
 
   asio::ip::tcp::socket m_socket;
   asio::steady_timer m_timer;
+  asio::steady_timer m_progressTimer;
   net::StreamWriter m_writer;
   ParseLimits m_limits;
   State m_state = State::kNew;
--- a/wagtailbend/http1/message.cc
+++ b/wagtailbend/http1/message.cc
@@ -99,6 +99,13 @@
 
 } // namespace
 
+bool
+IsAsciiAlphanumeric(char aByte)
+{
+  return (aByte >= '0' && aByte <= '9') || (aByte >= 'A' && aByte <= 'Z') ||
+         (aByte >= 'a' && aByte <= 'z');
+}
+
 bool
 EqualsIgnoreCase(std::string_view aLeft, std::string_view aRight)
 {
@@ -175,6 +182,23 @@
   return "Status";
 }
 
+std::string
+PercentEncode(std::string_view aText)
+{
+  constexpr std::string_view kHexDigits = "0123456789ABCDEF";
+  std::string text;
+  for (const char c : aText) {
+    if (IsAsciiAlphanumeric(c) || c == '-' || c == '_' || c == '.' ||
+        c == '~') {
+      text += c;
+      continue;
+    }
+    const auto byte = static_cast<unsigned char>(c);
+    text += { '%', kHexDigits[byte / 16], kHexDigits[byte % 16] };
+  }
+  return text;
+}
+
 std::string
 SerializeRequest(const RequestMessage& aRequest)
 {
--- a/wagtailbend/http1/message.h
+++ b/wagtailbend/http1/message.h
@@ -50,6 +50,10 @@
   bool operator==(const ResponseMessage&) const = default;
 };
 
+/// Returns whether aByte is an ASCII letter or digit. Thread-safe.
+bool
+IsAsciiAlphanumeric(char aByte);
+
 /// Compares header names, ignoring ASCII case. Thread-safe.
 bool
 EqualsIgnoreCase(std::string_view aLeft, std::string_view aRight);
@@ -77,6 +81,11 @@
 std::string_view
 ReasonPhrase(int aStatus);
 
+/// Percent-encodes every byte except the unreserved characters of RFC 3986.
+/// Thread-safe.
+std::string
+PercentEncode(std::string_view aText);
+
 /// Serializes a request; a body is framed by `Content-Length`. Thread-safe.
 std::string
 SerializeRequest(const RequestMessage& aRequest);
--- a/wagtailbend/http1/message_test.cc
+++ b/wagtailbend/http1/message_test.cc
@@ -55,5 +55,12 @@
   EXPECT_EQ(headers, (Headers{ { "Request-Id", "9" } }));
 }
 
+// Guards against keys that change the target of a request.
+TEST(MessageTest, PercentEncodesAllButUnreservedCharacters)
+{
+  EXPECT_EQ(PercentEncode(std::string("aZ09-_.~ /?&%+\xe9\0", 16)),
+            "aZ09-_.~%20%2F%3F%26%25%2B%E9%00");
+}
+
 } // namespace
 } // namespace wagtailbend::http1
--- a/wagtailbend/http1/response_syntax.cc
+++ b/wagtailbend/http1/response_syntax.cc
@@ -14,13 +14,6 @@
 constexpr std::string_view kTokenPunctuation = "!#$%&'*+-.^_`|~";
 constexpr unsigned char kDelete = 0x7f;
 
-bool
-IsAsciiAlphanumeric(char aByte)
-{
-  return (aByte >= '0' && aByte <= '9') || (aByte >= 'A' && aByte <= 'Z') ||
-         (aByte >= 'a' && aByte <= 'z');
-}
-
 /// `token` of RFC 9110, section 5.6.2.
 bool
 IsToken(std::string_view aText)
--- a/wagtailbend/store/codec.cc
+++ b/wagtailbend/store/codec.cc
@@ -231,19 +231,4 @@
   return reason;
 }
 
-std::string
-PercentEncode(const std::string& aText)
-{
-  std::string text;
-  for (const char c : aText) {
-    const auto byte = static_cast<unsigned char>(c);
-    if (std::isalnum(byte) || c == '-' || c == '_' || c == '.' || c == '~') {
-      text += c;
-    } else {
-      text += fmt::format("%{:02X}", byte);
-    }
-  }
-  return text;
-}
-
 } // namespace wagtailbend::store
--- a/wagtailbend/store/codec.h
+++ b/wagtailbend/store/codec.h
@@ -59,8 +59,4 @@
 std::string
 CheckRequest(const TransactRequest& aRequest);
 
-/// Percent-encodes every byte except the unreserved characters of RFC 3986.
-std::string
-PercentEncode(const std::string& aText);
-
 } // namespace wagtailbend::store
--- a/wagtailbend/store/http_platform.cc
+++ b/wagtailbend/store/http_platform.cc
@@ -5,12 +5,14 @@
 #include <fmt/format.h>
 #include <httplib.h>
 
+#include "wagtailbend/http1/message.h"
 #include "wagtailbend/store/codec.h"
 
 namespace wagtailbend::store {
 namespace {
 
 using Headers = httplib::Headers;
+using http1::PercentEncode;
 
 std::unique_ptr<httplib::Client>
 MakeClient(const std::string& aUrl, const HttpOptions& aOptions)
