Read responses of the operators' platform with the same parser

What operators could see: wagtailctl and wagtaild took a broken response of the table service for one, a change that was never confirmed among them, and a response without end used up the memory of the process.

Why it works: HttpPlatform performs its calls with BlockingClient. A call ends after readTimeout without a byte, as before, and after twice that in all. URLs are parsed by ParseHttpUrl, which also rejects ports above 65535.

--- a/wagtailbend/http1/blocking_client.cc
+++ b/wagtailbend/http1/blocking_client.cc
@@ -1,6 +1,7 @@
 #include "wagtailbend/http1/blocking_client.h"
 
-#include <optional>
+#include <limits>
+#include <regex>
 #include <utility>
 
 #include <asio/ip/address.hpp>
@@ -12,21 +13,29 @@
 using asio::ip::tcp;
 
 std::optional<tcp::endpoint>
-Resolve(asio::io_context& aIo, const std::string& aHost, uint16_t aPort)
+Resolve(asio::io_context& aIo, const ServerName& aServer)
 {
   std::error_code code;
-  const asio::ip::address address = asio::ip::make_address(aHost, code);
+  const asio::ip::address address = asio::ip::make_address(aServer.host, code);
   if (!code) {
-    return tcp::endpoint(address, aPort);
+    return tcp::endpoint(address, aServer.port);
   }
-  const auto found =
-    tcp::resolver(aIo).resolve(aHost, std::to_string(aPort), code);
+  const auto found = tcp::resolver(aIo).resolve(
+    aServer.host, std::to_string(aServer.port), code);
   if (code || found.empty()) {
     return std::nullopt;
   }
   return found.begin()->endpoint();
 }
 
+std::string
+HostHeaderOf(const ServerName& aServer)
+{
+  const bool isIpv6 = aServer.host.find(':') != std::string::npos;
+  const std::string host = isIpv6 ? "[" + aServer.host + "]" : aServer.host;
+  return host + ":" + std::to_string(aServer.port);
+}
+
 NoResponse
 MakeFailure(FailureReason aReason, bool aRequestSent)
 {
@@ -38,6 +47,23 @@
 
 } // namespace
 
+std::optional<ServerName>
+ParseHttpUrl(const std::string& aUrl, uint16_t aDefaultPort)
+{
+  static const std::regex kUrl(
+    R"(http://(?:\[([0-9A-Fa-f:.]+)\]|([^/:?#\[\]]+))(?::([0-9]{1,5}))?/?)");
+  std::smatch match;
+  if (!std::regex_match(aUrl, match, kUrl)) {
+    return std::nullopt;
+  }
+  const int port = match[3].matched ? std::stoi(match[3]) : aDefaultPort;
+  if (port == 0 || port > std::numeric_limits<uint16_t>::max()) {
+    return std::nullopt;
+  }
+  return ServerName{ match[1].matched ? match[1] : match[2],
+                     static_cast<uint16_t>(port) };
+}
+
 /// Lets Interrupt reach the event loop of a call.
 class BlockingClient::PendingCall
 {
@@ -66,11 +92,9 @@
   bool m_allowed = true;
 };
 
-BlockingClient::BlockingClient(std::string aHost,
-                               uint16_t aPort,
+BlockingClient::BlockingClient(ServerName aServer,
                                BlockingClientOptions aOptions)
-  : m_host(std::move(aHost))
-  , m_port(aPort)
+  : m_server(std::move(aServer))
   , m_options(aOptions)
 {
 }
@@ -83,11 +107,11 @@
   if (!call.IsAllowed()) {
     return MakeFailure(FailureReason::kInterrupted, false);
   }
-  const auto endpoint = Resolve(io, m_host, m_port);
+  const auto endpoint = Resolve(io, m_server);
   if (!endpoint) {
     return MakeFailure(FailureReason::kConnectFailed, false);
   }
-  SetHeader(aRequest.headers, "Host", m_host + ":" + std::to_string(m_port));
+  SetHeader(aRequest.headers, "Host", HostHeaderOf(m_server));
   SetHeader(aRequest.headers, "Connection", "close");
 
   std::optional<ClientResult> result;
--- a/wagtailbend/http1/blocking_client.h
+++ b/wagtailbend/http1/blocking_client.h
@@ -1,7 +1,7 @@
 // A blocking HTTP/1.1 client with a connection for each request, so that a
 // request that was not sent has certainly not been received.
 //
-//   BlockingClient client("10.0.0.4", 8080, {});
+//   BlockingClient client({ "10.0.0.4", 8080 }, {});
 //   const ClientResult result =
 //     client.Perform({ .method = "GET", .target = "/v1/x" }, seconds(1));
 
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -21,6 +22,21 @@
 
 namespace wagtailbend::http1 {
 
+struct ServerName
+{
+  /// An IP address or a name.
+  std::string host;
+  uint16_t port = 0;
+
+  bool operator==(const ServerName&) const = default;
+};
+
+/// Parses "http://HOST:PORT", with or without a slash at the end; an IPv6
+/// address stands in brackets. aDefaultPort is for URLs without a port; if it
+/// is 0, they are rejected. Thread-safe.
+std::optional<ServerName>
+ParseHttpUrl(const std::string& aUrl, uint16_t aDefaultPort = 0);
+
 struct BlockingClientOptions
 {
   Duration connectTimeout = std::chrono::seconds(1);
@@ -38,10 +54,7 @@
 class BlockingClient
 {
 public:
-  /// aHost is an IP address or a name.
-  BlockingClient(std::string aHost,
-                 uint16_t aPort,
-                 BlockingClientOptions aOptions);
+  BlockingClient(ServerName aServer, BlockingClientOptions aOptions);
 
   /// Performs one request; Host and framing headers are added. It fails if no
   /// byte is sent or received for aProgressTimeout.
@@ -52,8 +65,7 @@
 private:
   class PendingCall;
 
-  const std::string m_host;
-  const uint16_t m_port;
+  const ServerName m_server;
   const BlockingClientOptions m_options;
   std::mutex m_mutex;
   /// Those of the pending calls.
--- a/wagtailbend/http1/blocking_client_test.cc
+++ b/wagtailbend/http1/blocking_client_test.cc
@@ -1,11 +1,15 @@
 #include "wagtailbend/http1/blocking_client.h"
 
+#include <optional>
 #include <thread>
+#include <utility>
+#include <vector>
 
 #include <gtest/gtest.h>
 
 #include "wagtailbend/base/boot_time.h"
 #include "wagtailbend/http1/testing/broken_responses.h"
+#include "wagtailbend/http1/testing/io_thread.h"
 #include "wagtailbend/http1/testing/scripted_server.h"
 
 namespace wagtailbend::http1 {
@@ -19,21 +23,13 @@
 class BlockingClientTest : public ::testing::Test
 {
 protected:
-  ~BlockingClientTest() override
-  {
-    m_io.stop();
-    if (m_thread.joinable()) {
-      m_thread.join();
-    }
-  }
-
   /// Serves what was scripted before. Call it once.
   BlockingClient& Start(const std::string& aHost = "127.0.0.1")
   {
     BlockingClientOptions options;
     options.slowResponseAllowance = milliseconds(300);
-    m_client.emplace(aHost, m_server.Endpoint().port(), options);
-    m_thread = std::thread([this] { m_io.run(); });
+    m_client.emplace(ServerName{ aHost, m_server.Endpoint().port() }, options);
+    m_thread.emplace(m_io);
     return *m_client;
   }
 
@@ -47,7 +43,7 @@
 
   asio::io_context m_io;
   ScriptedServer m_server{ m_io };
-  std::thread m_thread;
+  std::optional<testing::IoThread> m_thread;
   std::optional<BlockingClient> m_client;
 };
 
@@ -63,8 +59,7 @@
     ASSERT_TRUE(std::holds_alternative<CompleteResponse>(result));
     EXPECT_EQ(std::get<CompleteResponse>(result).response.body, "whole");
   }
-  m_io.stop();
-  m_thread.join();
+  m_thread.reset();
   EXPECT_EQ(m_server.AcceptedConnections(), 2U);
   const std::string& head = m_server.Requests().at(0);
   EXPECT_EQ(head.substr(0, head.find('\r')), "GET /a?b=c HTTP/1.1");
@@ -137,7 +132,8 @@
   });
   BlockingClientOptions options;
   options.slowResponseAllowance = seconds(60);
-  BlockingClient client("127.0.0.1", acceptor.local_endpoint().port(), options);
+  BlockingClient client({ "127.0.0.1", acceptor.local_endpoint().port() },
+                        options);
   RequestMessage request = Get();
   request.method = "PUT";
   request.body = std::string(kBodyBytes, 'x');
@@ -146,5 +142,30 @@
   EXPECT_TRUE(std::holds_alternative<CompleteResponse>(result));
 }
 
+// Guards against URLs that are accepted and then fail with each request.
+TEST(ParseHttpUrlTest, AcceptsHostAndPortOnly)
+{
+  const std::vector<std::pair<std::string, std::optional<ServerName>>> cases = {
+    { "http://a:1", ServerName{ "a", 1 } },
+    { "http://10.0.0.1:65535/", ServerName{ "10.0.0.1", 65535 } },
+    { "http://[::1]:9", ServerName{ "::1", 9 } },
+    { "", std::nullopt },
+    { "http://a", std::nullopt },
+    { "a:1", std::nullopt },
+    { "https://a:1", std::nullopt },
+    { "http://", std::nullopt },
+    { "http://a:", std::nullopt },
+    { "http://a:x", std::nullopt },
+    { "http://a:0", std::nullopt },
+    { "http://a:65536", std::nullopt },
+    { "http://a:1/path", std::nullopt },
+    { "http://a?q", std::nullopt },
+  };
+  for (const auto& [url, server] : cases) {
+    EXPECT_EQ(ParseHttpUrl(url), server) << url;
+  }
+  EXPECT_EQ(ParseHttpUrl("http://a.b/", 80), (ServerName{ "a.b", 80 }));
+}
+
 } // namespace
 } // namespace wagtailbend::http1
--- a/wagtailbend/store/http_platform.cc
+++ b/wagtailbend/store/http_platform.cc
@@ -1,9 +1,8 @@
 #include "wagtailbend/store/http_platform.h"
 
-#include <regex>
+#include <utility>
 
 #include <fmt/format.h>
-#include <httplib.h>
 
 #include "wagtailbend/http1/message.h"
 #include "wagtailbend/store/codec.h"
@@ -11,55 +10,64 @@
 namespace wagtailbend::store {
 namespace {
 
-using Headers = httplib::Headers;
+using http1::ClientResult;
+using http1::NoResponse;
 using http1::PercentEncode;
+using http1::ResponseMessage;
 
-std::unique_ptr<httplib::Client>
-MakeClient(const std::string& aUrl, const HttpOptions& aOptions)
+constexpr const char* kJson = "application/json";
+// Objects are schemas and configurations.
+constexpr http1::ParseLimits kResponseLimits = { 64UL * 1024,
+                                                 64UL * 1024 * 1024 };
+// The kernel ends a connection whose peer is silent for so long.
+constexpr Duration kSilenceTimeout = std::chrono::seconds(3);
+
+const ResponseMessage*
+GetResponse(const ClientResult& aResult)
 {
-  auto client = std::make_unique<httplib::Client>(aUrl);
-  client->set_connection_timeout(aOptions.connectTimeout);
-  client->set_read_timeout(aOptions.readTimeout);
-  client->set_write_timeout(aOptions.readTimeout);
-  client->set_tcp_nodelay(true);
-  // The callers percent-encode paths.
-  client->set_url_encode(false);
-  return client;
+  const auto* complete = std::get_if<http1::CompleteResponse>(&aResult);
+  return complete == nullptr ? nullptr : &complete->response;
 }
 
-// Returns true if no byte of the request can have reached the platform.
 bool
-FailedBeforeSending(httplib::Error aError)
+HasStatus(const ClientResult& aResult, int aStatus)
+{
+  const ResponseMessage* response = GetResponse(aResult);
+  return response != nullptr && response->status == aStatus;
+}
+
+/// Precondition: aResult is a response.
+const std::string&
+BodyOf(const ClientResult& aResult)
 {
-  return aError == httplib::Error::Connection ||
-         aError == httplib::Error::ConnectionTimeout;
+  return GetResponse(aResult)->body;
 }
 
 std::string
-DescribeFailure(const httplib::Result& aResult)
+DescribeFailure(const ClientResult& aResult)
 {
-  if (!aResult) {
-    return fmt::format("platform: {}", httplib::to_string(aResult.error()));
+  if (const auto* failure = std::get_if<NoResponse>(&aResult)) {
+    return fmt::format("platform: {}", http1::ToString(failure->reason));
   }
   return fmt::format("platform: HTTP status {}: {}",
-                     aResult->status,
-                     aResult->body.substr(0, 200));
+                     GetResponse(aResult)->status,
+                     BodyOf(aResult).substr(0, 200));
 }
 
 // Classifies a write without a success response. It counts as refused only if
 // the platform certainly did not apply it.
 std::variant<Refused, Unknown>
-ClassifyFailedWrite(const httplib::Result& aResult)
+ClassifyFailedWrite(const ClientResult& aResult)
 {
-  if (!aResult) {
-    if (FailedBeforeSending(aResult.error())) {
+  if (const auto* failure = std::get_if<NoResponse>(&aResult)) {
+    if (!failure->requestSent) {
       return Refused{ { ErrorKind::kPlatformUnavailable,
                         DescribeFailure(aResult) } };
     }
     return Unknown{ DescribeFailure(aResult) };
   }
-  const int status = aResult->status;
-  if (status == 429 || (status == 503 && StatesNotApplied(aResult->body))) {
+  const int status = GetResponse(aResult)->status;
+  if (status == 429 || (status == 503 && StatesNotApplied(BodyOf(aResult)))) {
     return Refused{ { ErrorKind::kPlatformUnavailable,
                       DescribeFailure(aResult) } };
   }
@@ -70,11 +78,12 @@
 }
 
 Error
-MakeReadError(const httplib::Result& aResult)
+MakeReadError(const ClientResult& aResult)
 {
-  const bool rejected = aResult && aResult->status >= 400 &&
-                        aResult->status < 500 && aResult->status != 408 &&
-                        aResult->status != 429;
+  const ResponseMessage* response = GetResponse(aResult);
+  const bool rejected = response != nullptr && response->status >= 400 &&
+                        response->status < 500 && response->status != 408 &&
+                        response->status != 429;
   return { rejected ? ErrorKind::kInvalidRequest
                     : ErrorKind::kPlatformUnavailable,
            DescribeFailure(aResult) };
@@ -104,26 +113,51 @@
 
 } // namespace
 
-HttpPlatform::HttpPlatform(std::string aUrl, const HttpOptions& aOptions)
-  : m_url(std::move(aUrl))
-  , m_options(aOptions)
+HttpPlatform::HttpPlatform(http1::ServerName aServer,
+                           const HttpOptions& aOptions)
+  : m_client(std::move(aServer),
+             { aOptions.connectTimeout,
+               aOptions.readTimeout,
+               kSilenceTimeout,
+               kResponseLimits })
+  , m_timeout(aOptions.readTimeout)
 {
 }
 
 Result<std::unique_ptr<Platform>>
 HttpPlatform::Create(const std::string& aUrl, const HttpOptions& aOptions)
 {
-  static const std::regex kUrl("http://[^/:]+:[0-9]{1,5}/?");
-  if (!std::regex_match(aUrl, kUrl)) {
+  auto server = http1::ParseHttpUrl(aUrl);
+  if (!server) {
     return Error{ ErrorKind::kInvalidRequest,
                   fmt::format("platform URL \"{}\": must be http://HOST:PORT",
                               aUrl) };
   }
-  std::string url = aUrl;
-  if (url.back() == '/') {
-    url.pop_back();
-  }
-  return std::unique_ptr<Platform>(new HttpPlatform(std::move(url), aOptions));
+  return std::unique_ptr<Platform>(
+    new HttpPlatform(std::move(*server), aOptions));
+}
+
+ClientResult
+HttpPlatform::Get(std::string aTarget)
+{
+  http1::RequestMessage request;
+  request.method = "GET";
+  request.target = std::move(aTarget);
+  return m_client.Perform(std::move(request), m_timeout);
+}
+
+ClientResult
+HttpPlatform::Send(std::string aMethod,
+                   std::string aTarget,
+                   std::string aBody,
+                   std::string_view aContentType)
+{
+  http1::RequestMessage request;
+  request.method = std::move(aMethod);
+  request.target = std::move(aTarget);
+  request.body = std::move(aBody);
+  http1::SetHeader(request.headers, "Content-Type", aContentType);
+  return m_client.Perform(std::move(request), m_timeout);
 }
 
 TransactResult
@@ -132,19 +166,17 @@
   if (std::string reason = CheckRequest(aRequest); !reason.empty()) {
     return RefuseInvalidRequest(std::move(reason));
   }
-  const auto result = MakeClient(m_url, m_options)
-                        ->Post("/v1/table/transact",
-                               EncodeTransact(aRequest),
-                               "application/json");
-  if (result && result->status == 200) {
-    auto committed = DecodeCommitted(result->body);
+  const ClientResult result =
+    Send("POST", "/v1/table/transact", EncodeTransact(aRequest), kJson);
+  if (HasStatus(result, 200)) {
+    auto committed = DecodeCommitted(BodyOf(result));
     if (const Error* error = GetError(committed)) {
       return Unknown{ MakeMalformedResponseError(*error).detail };
     }
     return TakeValue(std::move(committed));
   }
-  if (result && result->status == 409) {
-    auto conflict = DecodeConflict(result->body);
+  if (HasStatus(result, 409)) {
+    auto conflict = DecodeConflict(BodyOf(result));
     if (const Error* error = GetError(conflict)) {
       return Unknown{ MakeMalformedResponseError(*error).detail };
     }
@@ -159,17 +191,15 @@
   if (std::string reason = CheckNames(aTable, aKey); !reason.empty()) {
     return RefuseInvalidRequest(std::move(reason)).error;
   }
-  const auto result =
-    MakeClient(m_url, m_options)
-      ->Get(fmt::format(
-        "/v1/table/{}/{}", PercentEncode(aTable), PercentEncode(aKey)));
-  if (result && result->status == 404) {
+  const ClientResult result = Get(
+    fmt::format("/v1/table/{}/{}", PercentEncode(aTable), PercentEncode(aKey)));
+  if (HasStatus(result, 404)) {
     return std::optional<Row>();
   }
-  if (!result || result->status != 200) {
+  if (!HasStatus(result, 200)) {
     return MakeReadError(result);
   }
-  auto row = DecodeRow(result->body);
+  auto row = DecodeRow(BodyOf(result));
   if (const Error* error = GetError(row)) {
     return MakeMalformedResponseError(*error);
   }
@@ -182,14 +212,12 @@
   if (std::string reason = CheckNames(aTable, "k" + aPrefix); !reason.empty()) {
     return RefuseInvalidRequest(std::move(reason)).error;
   }
-  const auto result = MakeClient(m_url, m_options)
-                        ->Get(fmt::format("/v1/table/{}?prefix={}",
-                                          PercentEncode(aTable),
-                                          PercentEncode(aPrefix)));
-  if (!result || result->status != 200) {
+  const ClientResult result = Get(fmt::format(
+    "/v1/table/{}?prefix={}", PercentEncode(aTable), PercentEncode(aPrefix)));
+  if (!HasStatus(result, 200)) {
     return MakeReadError(result);
   }
-  auto rows = DecodeRows(result->body);
+  auto rows = DecodeRows(BodyOf(result));
   if (const Error* error = GetError(rows)) {
     return MakeMalformedResponseError(*error);
   }
@@ -202,11 +230,12 @@
   if (std::string reason = CheckNames("objects", aKey); !reason.empty()) {
     return RefuseInvalidRequest(std::move(reason));
   }
-  const auto result = MakeClient(m_url, m_options)
-                        ->Put("/v1/objects/" + PercentEncode(aKey),
-                              aBytes,
-                              "application/octet-stream");
-  if (result && result->status >= 200 && result->status < 300) {
+  const ClientResult result = Send("PUT",
+                                   "/v1/objects/" + PercentEncode(aKey),
+                                   aBytes,
+                                   "application/octet-stream");
+  const ResponseMessage* response = GetResponse(result);
+  if (response != nullptr && response->status / 100 == 2) {
     return Done{};
   }
   return ConvertVariant<PutResult>(ClassifyFailedWrite(result));
@@ -218,15 +247,14 @@
   if (std::string reason = CheckNames("objects", aKey); !reason.empty()) {
     return RefuseInvalidRequest(std::move(reason)).error;
   }
-  auto result =
-    MakeClient(m_url, m_options)->Get("/v1/objects/" + PercentEncode(aKey));
-  if (result && result->status == 404) {
+  const ClientResult result = Get("/v1/objects/" + PercentEncode(aKey));
+  if (HasStatus(result, 404)) {
     return std::optional<std::string>();
   }
-  if (!result || result->status != 200) {
+  if (!HasStatus(result, 200)) {
     return MakeReadError(result);
   }
-  return std::optional<std::string>(std::move(result->body));
+  return std::optional<std::string>(BodyOf(result));
 }
 
 } // namespace wagtailbend::store
--- a/wagtailbend/store/http_platform.h
+++ b/wagtailbend/store/http_platform.h
@@ -7,8 +7,11 @@
 #pragma once
 
 #include <memory>
+#include <string>
+#include <string_view>
 
 #include "wagtailbend/base/time.h"
+#include "wagtailbend/http1/blocking_client.h"
 #include "wagtailbend/store/platform.h"
 
 namespace wagtailbend::store {
@@ -16,7 +19,8 @@
 struct HttpOptions
 {
   Duration connectTimeout = std::chrono::milliseconds(500);
-  /// Limit for each read of a response and each write of a request.
+  /// A call fails if no byte is sent or received for this time, or if it takes
+  /// more than twice as long in all.
   Duration readTimeout = std::chrono::seconds(2);
 
   bool operator==(const HttpOptions&) const = default;
@@ -44,10 +48,15 @@
     const std::string& aKey) override;
 
 private:
-  HttpPlatform(std::string aUrl, const HttpOptions& aOptions);
-
-  std::string m_url;
-  HttpOptions m_options;
+  HttpPlatform(http1::ServerName aServer, const HttpOptions& aOptions);
+  http1::ClientResult Get(std::string aTarget);
+  http1::ClientResult Send(std::string aMethod,
+                           std::string aTarget,
+                           std::string aBody,
+                           std::string_view aContentType);
+
+  http1::BlockingClient m_client;
+  const Duration m_timeout;
 };
 
 } // namespace wagtailbend::store
