Read responses of the span receiver with the same parser

What could happen: a receiver in trouble whose response never ends used up the memory of wagtaild, and spans counted as sent when the response was broken.

Evidence, observability_test before the change: EndlessResponsesEnd ended with std::bad_alloc at 3 GB of address space, ABrokenResponseDropsSpans counted the span as sent. Both pass now.

A URL that can't be parsed drops the spans, as an unreachable receiver does.

--- a/wagtailbend/observability/observability_test.cc
+++ b/wagtailbend/observability/observability_test.cc
@@ -5,6 +5,9 @@
 #include <httplib.h>
 #include <nlohmann/json.hpp>
 
+#include "wagtailbend/http1/testing/endless_server.h"
+#include "wagtailbend/http1/testing/io_thread.h"
+#include "wagtailbend/http1/testing/scripted_server.h"
 #include "wagtailbend/observability/event_log.h"
 #include "wagtailbend/observability/metrics.h"
 #include "wagtailbend/observability/otlp_exporter.h"
@@ -142,5 +145,47 @@
   EXPECT_EQ(exporter.SentSpans(), 0U);
 }
 
+// Guards against a receiver in trouble whose response uses up the daemon's
+// memory, or keeps it from stopping.
+TEST(OtlpExporterTest, EndlessResponsesEnd)
+{
+  const std::string statusLine = "HTTP/1.1 200 OK\r\n";
+  for (const http1::testing::EndlessResponse& response :
+       { http1::testing::EndlessResponse{ statusLine, "X: 1\r\n", {} },
+         { statusLine + "\r\n", std::string(1024, 'x'), {} } }) {
+    asio::io_context io;
+    http1::testing::EndlessServer server(io, response);
+    const auto endpoint = server.Endpoint();
+    const http1::testing::IoThread thread(io);
+    const TimePoint start = MonotonicNow();
+    {
+      OtlpExporter exporter(
+        "http://127.0.0.1:" + std::to_string(endpoint.port()), "b-1");
+      exporter.Export(Span{});
+    }
+    EXPECT_LT(MonotonicNow() - start, std::chrono::seconds(6));
+  }
+}
+
+// Guards against spans that count as sent although nobody confirmed it.
+TEST(OtlpExporterTest, ABrokenResponseDropsSpans)
+{
+  asio::io_context io;
+  http1::testing::ScriptedServer server(io);
+  server.AddResponse("HTTP/1.1 200 OK\r\nA B: x\r\nContent-Length: 0\r\n\r\n");
+  const auto endpoint = server.Endpoint();
+  const http1::testing::IoThread thread(io);
+  OtlpExporter exporter("http://127.0.0.1:" + std::to_string(endpoint.port()),
+                        "b-1");
+  exporter.Export(Span{});
+  for (int i = 0;
+       i < 500 && exporter.DroppedSpans() + exporter.SentSpans() == 0;
+       ++i) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  }
+  EXPECT_EQ(exporter.DroppedSpans(), 1U);
+  EXPECT_EQ(exporter.SentSpans(), 0U);
+}
+
 } // namespace
 } // namespace wagtailbend::observability
--- a/wagtailbend/observability/otlp_exporter.cc
+++ b/wagtailbend/observability/otlp_exporter.cc
@@ -1,19 +1,33 @@
 #include "wagtailbend/observability/otlp_exporter.h"
 
-#include <httplib.h>
-
 namespace wagtailbend::observability {
 namespace {
 
 constexpr size_t kMaxQueuedSpans = 4096;
 constexpr auto kBatchInterval = std::chrono::milliseconds(200);
-constexpr auto kRequestTimeout = std::chrono::milliseconds(500);
+constexpr Duration kRequestTimeout = std::chrono::milliseconds(500);
+constexpr http1::ParseLimits kResponseLimits = { 16UL * 1024, 64UL * 1024 };
+constexpr uint16_t kDefaultPort = 80;
 constexpr int kHttpOk = 200;
 
+std::unique_ptr<http1::BlockingClient>
+MakeClient(const std::string& aBaseUrl)
+{
+  auto server = http1::ParseHttpUrl(aBaseUrl, kDefaultPort);
+  if (!server) {
+    return nullptr;
+  }
+  return std::make_unique<http1::BlockingClient>(
+    std::move(*server),
+    http1::BlockingClientOptions{
+      kRequestTimeout, kRequestTimeout, kRequestTimeout, kResponseLimits });
+}
+
 } // namespace
 
-OtlpExporter::OtlpExporter(std::string aBaseUrl, std::string aServiceName)
-  : m_baseUrl(std::move(aBaseUrl))
+OtlpExporter::OtlpExporter(const std::string& aBaseUrl,
+                           std::string aServiceName)
+  : m_client(MakeClient(aBaseUrl))
   , m_serviceName(std::move(aServiceName))
   , m_thread([this] { Run(); })
 {
@@ -62,14 +76,19 @@
 void
 OtlpExporter::Send(const std::vector<Span>& aBatch)
 {
-  httplib::Client client(m_baseUrl);
-  client.set_connection_timeout(kRequestTimeout);
-  client.set_read_timeout(kRequestTimeout);
-  const auto response = client.Post(
-    "/v1/traces", EncodeOtlpJson(m_serviceName, aBatch), "application/json");
-  if (response && response->status == kHttpOk) {
-    m_sent.fetch_add(aBatch.size());
-    return;
+  if (m_client != nullptr) {
+    http1::RequestMessage request;
+    request.method = "POST";
+    request.target = "/v1/traces";
+    request.body = EncodeOtlpJson(m_serviceName, aBatch);
+    http1::SetHeader(request.headers, "Content-Type", "application/json");
+    const http1::ClientResult result =
+      m_client->Perform(std::move(request), kRequestTimeout);
+    const auto* received = std::get_if<http1::CompleteResponse>(&result);
+    if (received != nullptr && received->response.status == kHttpOk) {
+      m_sent.fetch_add(aBatch.size());
+      return;
+    }
   }
   m_dropped.fetch_add(aBatch.size());
 }
--- a/wagtailbend/observability/otlp_exporter.h
+++ b/wagtailbend/observability/otlp_exporter.h
@@ -7,11 +7,13 @@
 
 #include <atomic>
 #include <condition_variable>
+#include <memory>
 #include <mutex>
 #include <string>
 #include <thread>
 #include <vector>
 
+#include "wagtailbend/http1/blocking_client.h"
 #include "wagtailbend/observability/trace.h"
 
 namespace wagtailbend::observability {
@@ -22,8 +24,9 @@
 class OtlpExporter : public SpanSink
 {
 public:
-  /// Precondition: aBaseUrl starts with "http://". Posts to "/v1/traces".
-  OtlpExporter(std::string aBaseUrl, std::string aServiceName);
+  /// Posts to "/v1/traces" of aBaseUrl. All spans are dropped if that is no URL
+  /// of the form "http://HOST:PORT"; the port is 80 if it is left out.
+  OtlpExporter(const std::string& aBaseUrl, std::string aServiceName);
   /// Sends the queued spans in a final request, within the request timeouts.
   ~OtlpExporter() override;
   OtlpExporter(const OtlpExporter&) = delete;
@@ -37,7 +40,8 @@
   void Run();
   void Send(const std::vector<Span>& aBatch);
 
-  const std::string m_baseUrl;
+  /// Null if the URL is invalid.
+  const std::unique_ptr<http1::BlockingClient> m_client;
   const std::string m_serviceName;
   std::mutex m_mutex;
   std::condition_variable m_stopCondition;
