Pass on only what can finish before a stopping daemon ends

Callers saw: in a planned stop, a call that a running request made late in the grace period was taken and passed on; at the end of the grace period it was cut with a 502 while its target was at work, although it may not be repeated. In the last 0.2 s such a call got no answer at all.

Cause: from 2.3 s after SIGTERM on a stopping daemon rejects clients, but it served the calls of running requests to the end, whatever time was left. Only the queue of its own target (TargetGateway::BeginClose) looked at that time, not requests that it sent to targets of other VMs. A client's request whose deadline lies within 4 ms of that of a running request counts as its call, so that late requests of clients could pass as well.

Why it works: the dispatcher drops targets that are not expected to respond before the end, with the measured run time of the route or, if that is unknown, its objective, and rejects a request without a target as not run. The same holds for retries. Requests of clients need two mean run times, as at the queue of the own target, calls four, since the run that made one has to go on after it. What runs for longer than that is still cut.

--- a/wagtailbend/exchange/request_dispatcher.cc
+++ b/wagtailbend/exchange/request_dispatcher.cc
@@ -31,6 +31,10 @@
 constexpr Duration kDeadlineGrace = std::chrono::milliseconds(120);
 // Retry-After value while this daemon has no configuration.
 constexpr double kStartupRetryAfterSeconds = 0.5;
+// Mean run times that must remain before a stopping daemon ends. After a nested
+// call the run that made it has to go on.
+constexpr int kMinRunTimesBeforeClose = 2;
+constexpr int kMinRunTimesOfNestedCallBeforeClose = 4;
 // Expected run times that must remain before the deadline for a retry.
 constexpr int kMinRunTimesForRetry = 1;
 
@@ -57,6 +61,12 @@
   return value;
 }
 
+Duration
+ObjectiveOf(const routes::Route& aRoute)
+{
+  return aRoute.objective > Duration{} ? aRoute.objective : kDefaultObjective;
+}
+
 } // namespace
 
 struct RequestDispatcher::OpenRequest
@@ -227,10 +237,7 @@
     aOpenRequest.deadline =
       std::min(aOpenRequest.deadline, aNow + aOpenRequest.route->timeout);
   }
-  const Duration objective = aOpenRequest.route->objective > Duration{}
-                               ? aOpenRequest.route->objective
-                               : kDefaultObjective;
-  aOpenRequest.objective = aNow + objective;
+  aOpenRequest.objective = aNow + ObjectiveOf(*aOpenRequest.route);
   aOpenRequest.priority = aOpenRequest.route->priority;
 }
 
@@ -311,6 +318,16 @@
                      aOpenRequest->tried.end(),
                      aOption.address) != aOpenRequest->tried.end();
   });
+  if (std::erase_if(options,
+                    [this, &aOpenRequest, now](const TargetOption& aOption) {
+                      return !CanFinishBeforeClose(*aOpenRequest, aOption, now);
+                    }) > 0 &&
+      options.empty()) {
+    Reject(aOpenRequest,
+           ErrorKind::kDraining,
+           "no target can respond before the daemon stops");
+    return;
+  }
   std::vector<placement::Candidate> candidates;
   candidates.reserve(options.size());
   for (const TargetOption& option : options) {
@@ -329,6 +346,24 @@
   SendAttempt(aOpenRequest, options[*chosen]);
 }
 
+bool
+RequestDispatcher::CanFinishBeforeClose(const OpenRequest& aOpenRequest,
+                                        const TargetOption& aOption,
+                                        TimePoint aNow) const
+{
+  if (!m_closeEnd) {
+    return true;
+  }
+  const placement::Candidate& candidate = aOption.candidate;
+  const int runTimes = aOpenRequest.nested ? kMinRunTimesOfNestedCallBeforeClose
+                                           : kMinRunTimesBeforeClose;
+  const Duration needed = candidate.meanRunTime > Duration{}
+                            ? runTimes * candidate.meanRunTime
+                            : ObjectiveOf(*aOpenRequest.route);
+  return aNow + candidate.roundTrip + candidate.expectedWait + needed <
+         *m_closeEnd;
+}
+
 void
 RequestDispatcher::WaitForTarget(const OpenRequestPtr& aOpenRequest,
                                  TimePoint aNow)
--- a/wagtailbend/exchange/request_dispatcher.h
+++ b/wagtailbend/exchange/request_dispatcher.h
@@ -98,6 +98,10 @@
   {
     return m_table;
   }
+  /// The daemon stops at aEnd at the latest. From now on a request, a call of a
+  /// running request among them, is sent only to a target that is expected to
+  /// respond before that; if there is none, it is rejected as not run.
+  void BeginClose(TimePoint aEnd) { m_closeEnd = aEnd; }
   /// From now on rejects requests of clients as not run. Calls of requests that
   /// run at the local target are still served.
   void RejectClients() { m_isRejectingClients = true; }
@@ -127,6 +131,9 @@
   void RecognizeRetryingClient(OpenRequest& aOpenRequest, TimePoint aNow);
   bool Admit(const OpenRequestPtr& aOpenRequest);
   void StartAttempt(const OpenRequestPtr& aOpenRequest);
+  bool CanFinishBeforeClose(const OpenRequest& aOpenRequest,
+                            const TargetOption& aOption,
+                            TimePoint aNow) const;
   void WaitForTarget(const OpenRequestPtr& aOpenRequest, TimePoint aNow);
   void SendAttempt(const OpenRequestPtr& aOpenRequest,
                    const TargetOption& aOption);
@@ -165,6 +172,7 @@
   Rng m_rng;
   uint64_t m_lastId = 0;
   bool m_isRejectingClients = false;
+  std::optional<TimePoint> m_closeEnd;
   std::unordered_map<uint64_t, OpenRequestPtr> m_openRequests;
   struct NestedCall
   {
--- a/wagtailbend/exchange/request_dispatcher_test.cc
+++ b/wagtailbend/exchange/request_dispatcher_test.cc
@@ -53,7 +53,7 @@
       option.channel = &m_channels[i];
       option.address = "vm" + std::to_string(i);
       option.candidate.slots = 10;
-      option.candidate.meanRunTime = milliseconds(10);
+      option.candidate.meanRunTime = m_meanRunTime;
       // Placement always prefers the first target.
       option.candidate.expectedWait = milliseconds(100 * i);
       options.push_back(option);
@@ -76,6 +76,7 @@
 
   std::vector<FakeChannel> m_channels{ 2 };
   double m_level = 1;
+  Duration m_meanRunTime = milliseconds(10);
 };
 
 class FakeObserver
@@ -477,6 +478,46 @@
   EXPECT_TRUE(Channel(0).m_attempts.empty());
 }
 
+// Guards against requests that are passed on late in the grace period and cut
+// at its end.
+TEST_F(EntryTest, AStoppingDaemonPassesOnOnlyWhatCanFinish)
+{
+  struct CloseCase
+  {
+    int timeLeftMs;
+    int meanRunMs;
+    bool isPassedOn;
+  };
+  // The objective, 1 s, stands for an unknown run time.
+  for (const auto& [timeLeftMs, meanRunMs, isPassedOn] :
+       { CloseCase{ 2000, 500, true },
+         { 2000, 1100, false },
+         { 1500, 0, true },
+         { 900, 0, false },
+         { 0, 10, false },
+         { -100, 10, false } }) {
+    SCOPED_TRACE(std::to_string(timeLeftMs) + " " + std::to_string(meanRunMs));
+    m_directory.m_channels = std::vector<FakeChannel>(2);
+    m_directory.m_meanRunTime = milliseconds(meanRunMs);
+    m_entry.BeginClose(BootNow() + milliseconds(timeLeftMs));
+    Channel(0).m_script = { Responded(200) };
+    EXPECT_EQ(StatusOf(Request("/order/1")), isPassedOn ? 200 : 503);
+    EXPECT_EQ(Channel(0).m_attempts.size(), isPassedOn ? 1U : 0U);
+  }
+}
+
+// Guards against a retry that is sent late in the grace period and cut.
+TEST_F(EntryTest, AStoppingDaemonRetriesOnlyWhatCanFinish)
+{
+  Send("/lookup/1");
+  RunFor(20);
+  ASSERT_EQ(Channel(0).m_pendingCallbacks.size(), 1U);
+  m_entry.BeginClose(BootNow());
+  Channel(0).m_pendingCallbacks[0](Failed(Outcome::kUnknown, true));
+  EXPECT_EQ(StatusOf(Received()), 502);
+  EXPECT_TRUE(Channel(1).m_attempts.empty());
+}
+
 // Guards against connections that are closed without a response when the grace
 // period ends (fault search of vukovic-narudzbe-grown, trouble-2, seed
 // 127120822492).
--- a/wagtailbend/node/traffic_node.cc
+++ b/wagtailbend/node/traffic_node.cc
@@ -383,6 +383,7 @@
 TrafficNode::BeginStop(TimePoint aEnd)
 {
   m_gateway.BeginClose(aEnd);
+  m_dispatcher.BeginClose(aEnd);
   m_server.AnnounceClose();
   AnnounceLocalMember();
 }
