--- a/wagtailbend/mesh/convert.h
+++ b/wagtailbend/mesh/convert.h
@@ -37,8 +37,8 @@
 
 void
 FillProto(const exchange::AttemptResult& aResult, wire::Result& aMessage);
-/// Moves strings out of aMessage. A response that is invalid by RFC 9112 becomes
-/// an unknown outcome.
+/// Moves strings out of aMessage. A response that is invalid by RFC 9112
+/// becomes an unknown outcome.
 exchange::AttemptResult
 MoveFromProto(wire::Result& aMessage);
 
