Count a store call without file descriptors as not sent

Why it works: Perform catches std::system_error, which comes before the request is sent, and reports a failed connect, which the callers know.

--- a/wagtailbend/http1/blocking_client.cc
+++ b/wagtailbend/http1/blocking_client.cc
@@ -2,6 +2,7 @@
 
 #include <limits>
 #include <regex>
+#include <system_error>
 #include <utility>
 
 #include <asio/ip/address.hpp>
@@ -101,6 +102,25 @@
 
 ClientResult
 BlockingClient::Perform(RequestMessage aRequest, Duration aProgressTimeout)
+{
+  SetHeader(aRequest.headers, "Host", HostHeaderOf(m_server));
+  SetHeader(aRequest.headers, "Connection", "close");
+  ClientRequest request;
+  request.bytes = SerializeRequest(aRequest);
+  request.isHead = aRequest.method == "HEAD";
+  request.timeout = aProgressTimeout + m_options.slowResponseAllowance;
+  request.progressTimeout = aProgressTimeout;
+  bool connected = false;
+  try {
+    return Run(std::move(request), connected);
+  } catch (const std::system_error&) {
+    // The event loop needs file descriptors.
+    return MakeFailure(FailureReason::kConnectFailed, connected);
+  }
+}
+
+ClientResult
+BlockingClient::Run(ClientRequest aRequest, bool& aConnected)
 {
   asio::io_context io;
   const PendingCall call(*this, io);
@@ -111,34 +131,27 @@
   if (!endpoint) {
     return MakeFailure(FailureReason::kConnectFailed, false);
   }
-  SetHeader(aRequest.headers, "Host", HostHeaderOf(m_server));
-  SetHeader(aRequest.headers, "Connection", "close");
-
   std::optional<ClientResult> result;
-  bool connected = false;
   const auto connection = ClientConnection::Make(io, m_options.limits);
-  const auto send = [&](bool aConnected) {
-    connected = aConnected;
-    if (!aConnected) {
-      result = MakeFailure(FailureReason::kConnectFailed, false);
-      return;
-    }
-    ClientRequest request;
-    request.bytes = SerializeRequest(aRequest);
-    request.isHead = aRequest.method == "HEAD";
-    request.timeout = aProgressTimeout + m_options.slowResponseAllowance;
-    request.progressTimeout = aProgressTimeout;
-    connection->Send(std::move(request), [&result](ClientResult aResult) {
-      result = std::move(aResult);
-    });
-  };
   connection->Connect(
-    *endpoint, m_options.connectTimeout, m_options.silenceTimeout, send);
+    *endpoint,
+    m_options.connectTimeout,
+    m_options.silenceTimeout,
+    [&](bool aIsConnected) {
+      aConnected = aIsConnected;
+      if (!aIsConnected) {
+        result = MakeFailure(FailureReason::kConnectFailed, false);
+        return;
+      }
+      connection->Send(std::move(aRequest), [&result](ClientResult aResult) {
+        result = std::move(aResult);
+      });
+    });
   while (!result && io.run_one() > 0) {
   }
   connection->Close();
   return result ? std::move(*result)
-                : MakeFailure(FailureReason::kInterrupted, connected);
+                : MakeFailure(FailureReason::kInterrupted, aConnected);
 }
 
 void
--- a/wagtailbend/http1/blocking_client.h
+++ b/wagtailbend/http1/blocking_client.h
@@ -57,7 +57,8 @@
   BlockingClient(ServerName aServer, BlockingClientOptions aOptions);
 
   /// Performs one request; Host and framing headers are added. It fails if no
-  /// byte is sent or received for aProgressTimeout.
+  /// byte is sent or received for aProgressTimeout. A request without a
+  /// connection, also for lack of file descriptors, counts as not sent.
   ClientResult Perform(RequestMessage aRequest, Duration aProgressTimeout);
   /// Ends the pending requests and lets all later ones fail.
   void Interrupt();
@@ -65,6 +66,9 @@
 private:
   class PendingCall;
 
+  /// Sets aConnected before the request is sent.
+  ClientResult Run(ClientRequest aRequest, bool& aConnected);
+
   const ServerName m_server;
   const BlockingClientOptions m_options;
   std::mutex m_mutex;
--- a/wagtailbend/http1/blocking_client_test.cc
+++ b/wagtailbend/http1/blocking_client_test.cc
@@ -5,6 +5,8 @@
 #include <utility>
 #include <vector>
 
+#include <sys/resource.h>
+
 #include <gtest/gtest.h>
 
 #include "wagtailbend/base/boot_time.h"
@@ -79,8 +81,7 @@
   EXPECT_LT(BootNow() - start, seconds(4));
 }
 
-// Guards against a failed connect that counts as a request that may have been
-// received.
+// Guards against a failed connect that counts as a request that was sent.
 TEST_F(BlockingClientTest, AFailedConnectMeansNotSent)
 {
   m_server.Stop();
@@ -90,6 +91,21 @@
   EXPECT_FALSE(std::get<NoResponse>(result).requestSent);
 }
 
+// Guards against a process that ends when it has no file descriptor left.
+TEST_F(BlockingClientTest, ALackOfFileDescriptorsMeansNotSent)
+{
+  BlockingClient& client = Start();
+  rlimit limit{};
+  ASSERT_EQ(getrlimit(RLIMIT_NOFILE, &limit), 0);
+  rlimit none = limit;
+  none.rlim_cur = 0;
+  ASSERT_EQ(setrlimit(RLIMIT_NOFILE, &none), 0);
+  const ClientResult result = client.Perform(Get(), seconds(5));
+  ASSERT_EQ(setrlimit(RLIMIT_NOFILE, &limit), 0);
+  ASSERT_TRUE(std::holds_alternative<NoResponse>(result));
+  EXPECT_FALSE(std::get<NoResponse>(result).requestSent);
+}
+
 // Guards against a stop that waits for a server.
 TEST_F(BlockingClientTest, InterruptEndsPendingAndLaterRequests)
 {
