--- a/wagtailbend/exchange/request_dispatcher_test.cc
+++ b/wagtailbend/exchange/request_dispatcher_test.cc
@@ -478,8 +478,7 @@
   EXPECT_TRUE(Channel(0).m_attempts.empty());
 }
 
-// Guards against requests that are passed on late in the grace period and cut
-// at its end.
+// Guards against requests that are passed on late in the grace period and cut.
 TEST_F(EntryTest, AStoppingDaemonPassesOnOnlyWhatCanFinish)
 {
   struct CloseCase
--- a/wagtailbend/mesh/mesh_test.cc
+++ b/wagtailbend/mesh/mesh_test.cc
@@ -515,8 +515,7 @@
 class PeerResultTest : public ::testing::TestWithParam<PeerResultCase>
 {};
 
-// Guards against passing on a peer's result that is no response, such as one of
-// a daemon of another version that reads targets less strictly.
+// Guards against passing on a result of a peer that is no response.
 TEST_P(PeerResultTest, IsCheckedLikeAResponse)
 {
   exchange::AttemptResult sent;
--- a/wagtailbend/observability/observability_test.cc
+++ b/wagtailbend/observability/observability_test.cc
@@ -145,8 +145,7 @@
   EXPECT_EQ(exporter.SentSpans(), 0U);
 }
 
-// Guards against a receiver in trouble whose response uses up the daemon's
-// memory, or keeps it from stopping.
+// Guards against a receiver's response that uses up the daemon's memory.
 TEST(OtlpExporterTest, EndlessResponsesEnd)
 {
   const std::string statusLine = "HTTP/1.1 200 OK\r\n";
--- a/wagtailbend/store/http_platform_test.cc
+++ b/wagtailbend/store/http_platform_test.cc
@@ -75,8 +75,7 @@
 class EndlessPlatformResponseTest : public ::testing::TestWithParam<EndlessCase>
 {};
 
-// Guards against a response that uses up the memory of the process, or a call
-// that never ends.
+// Guards against a response that uses up the memory of the process.
 TEST_P(EndlessPlatformResponseTest, EndsTheCall)
 {
   asio::io_context io;
