--- a/review/build.sh
+++ b/review/build.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Builds the stand-ins and the driver of each case into review/build/.
-# Needs only the packages of deploy/system.toml.
+# Needs the packages of deploy/system.toml and libcpp-httplib-dev.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 out=review/build
