--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -1,11 +1,11 @@
 #!/usr/bin/env bash
-# Half of the daemons are killed while clients read the same documents.
+# All machines lose power; their servers are slow after they are back.
 # Exit status: 1 the rule was broken, 0 it held, 2 the case could not run.
 # TROUBLE=0 runs it without the disruption. Build first: the build line of
 # deploy/system.toml, then review/build-2.sh.
 set -u
 cd "$(dirname "$0")/../.." || exit 2
-program=target/review-2/case_recover
+program=target/review-2/case_cold
 [ -x "$program" ] && [ -x target/bin/wagtaild-http ] || exit 2
 timeout 115 "$program" review/6/record.txt
 status=$?
--- a/review/stand-ins-2/harness.cc
+++ b/review/stand-ins-2/harness.cc
@@ -41,16 +41,27 @@
 constexpr int kPortRanges = 1100;
 constexpr int kBeatMs = 1500;
 constexpr int64_t kSecondMs = 1000;
+// A client that was refused asks again after this time, or later if told so.
+constexpr int64_t kPauseMs = 300;
+constexpr int64_t kRecoveryMs = 15 * kSecondMs;
+constexpr int64_t kAfterMs = 15 * kSecondMs;
+constexpr double kServedShare = 0.25;
 
-std::string
-RandomHex()
+uint64_t
+Random()
 {
   static std::mutex mutex;
   static std::mt19937_64 engine{ std::random_device{}() };
   const std::lock_guard lock(mutex);
+  return engine();
+}
+
+std::string
+RandomHex()
+{
   char text[17];
   std::snprintf(
-    text, sizeof(text), "%016llx", static_cast<unsigned long long>(engine()));
+    text, sizeof(text), "%016llx", static_cast<unsigned long long>(Random()));
   return text;
 }
 
@@ -233,6 +244,7 @@
   , m_record(aRecord)
   , m_id("i-" + RandomHex())
   , m_bornMs(UnixMs())
+  , m_coldUntilMs(NowMs() + m_options.coldMs)
 {
 }
 
@@ -317,6 +329,12 @@
   return Tell("heartbeat", BeatBody(m_sequence));
 }
 
+int64_t
+Server::ColdRemainingMs() const
+{
+  return std::max<int64_t>(0, m_coldUntilMs - NowMs());
+}
+
 std::string
 Server::BeatBody(int aSequence) const
 {
@@ -331,7 +349,7 @@
     { "Status",
       { { "State", "ready" },
         { "Sequence", aSequence },
-        { "ColdRemainingMs", 0 } } }
+        { "ColdRemainingMs", ColdRemainingMs() } } }
   }.dump();
 }
 
@@ -428,7 +446,10 @@
   }
   m_record.Line("server " + m_id + " runs " + id + " " + aRequest.method + " " +
                 aRequest.path);
-  SleepMs(m_options.workMs);
+  const int spread = m_options.spreadMs;
+  const int work =
+    m_options.workMs - spread + static_cast<int>(Random() % (2UL * spread + 1));
+  SleepMs(ColdRemainingMs() > 0 ? work * m_options.coldFactor : work);
   std::string body = aRequest.path + "|" + id;
   if (m_options.responseBytes > 0 &&
       aRequest.path.find("/start") == std::string::npos) {
@@ -635,6 +656,15 @@
                 std::to_string(machine.daemon));
 }
 
+bool
+Fleet::RestartServer(size_t aMachine)
+{
+  Machine& machine = m_machines[aMachine];
+  machine.server.reset();
+  machine.server = std::make_unique<Server>(machine.options, m_record);
+  return machine.server->Start();
+}
+
 void
 Fleet::SignalDaemon(size_t aMachine, int aSignal)
 {
@@ -733,12 +763,13 @@
     StartDaemon(i);
   }
   for (size_t i = 0; i < m_machines.size(); ++i) {
-    Machine& machine = m_machines[i];
-    machine.server = std::make_unique<Server>(machine.options, m_record);
-    if (!WaitReady(i, 10 * kSecondMs) || !machine.server->Start()) {
+    if (!WaitReady(i, 10 * kSecondMs) || !RestartServer(i)) {
       return false;
     }
   }
+  for (const Machine& machine : m_machines) {
+    SleepMs(machine.server->ColdRemainingMs());
+  }
   for (size_t i = 0; i < m_machines.size(); ++i) {
     for (const std::string& service : Services()) {
       ClientRequest request;
@@ -826,4 +857,73 @@
   return answer;
 }
 
+Clients::Clients(Fleet& aFleet, size_t aPerMachine, MakeRequest aMakeRequest)
+  : m_fleet(aFleet)
+  , m_makeRequest(std::move(aMakeRequest))
+{
+  for (size_t i = 0; i < aFleet.Size() * aPerMachine; ++i) {
+    m_threads.emplace_back([this, i] { Run(i); });
+  }
+}
+
+Clients::~Clients()
+{
+  m_stopping = true;
+  for (std::thread& thread : m_threads) {
+    thread.join();
+  }
+}
+
+void
+Clients::Run(size_t aClient)
+{
+  for (int number = 0; !m_stopping; ++number) {
+    const ClientRequest request = m_makeRequest(aClient, number);
+    const Answer answer = m_fleet.Ask(aClient % m_fleet.Size(), request);
+    m_fleet.Log().Line("client " + std::to_string(aClient) + " asked for " +
+                       request.path + " and got " + answer.Describe());
+    if (answer.status != 200) {
+      SleepMs(std::max(kPauseMs,
+                       static_cast<int64_t>(answer.retryAfterS * kSecondMs)));
+    }
+    const std::lock_guard lock(m_mutex);
+    m_answers.push_back(answer);
+  }
+}
+
+Share
+Clients::Between(int64_t aFromMs, int64_t aToMs) const
+{
+  const std::lock_guard lock(m_mutex);
+  Share share;
+  for (const Answer& answer : m_answers) {
+    if (answer.sentMs < aFromMs || answer.sentMs >= aToMs) {
+      continue;
+    }
+    ++share.asked;
+    share.served += answer.status == 200 && answer.complete ? 1 : 0;
+  }
+  return share;
+}
+
+int
+CheckRecovery(Fleet& aFleet,
+              const Clients& aClients,
+              int64_t aStartMs,
+              int64_t aFaultMs,
+              int64_t aBackMs)
+{
+  const int64_t fromMs = aBackMs + kRecoveryMs;
+  SleepMs(fromMs + kAfterMs - NowMs());
+  const Share before = aClients.Between(aStartMs, aFaultMs);
+  const Share after = aClients.Between(fromMs, fromMs + kAfterMs);
+  aFleet.Log().Line("served before the fault: " + before.Describe());
+  aFleet.Log().Line("served later than 15 s after the machines are back: " +
+                    after.Describe());
+  if (before.Served() < kServedShare || after.asked == 0) {
+    return kCouldNotRun;
+  }
+  return after.Served() < kServedShare ? kBroken : kHeld;
+}
+
 } // namespace wagtailbend::review
--- a/review/stand-ins-2/harness.h
+++ b/review/stand-ins-2/harness.h
@@ -68,6 +68,11 @@
   std::string control;
   int slots = 100;
   int workMs = 10;
+  /// Largest deviation from it, drawn for each run.
+  int spreadMs = 0;
+  /// Time after its start for which the server takes coldFactor times as long.
+  int64_t coldMs = 0;
+  int coldFactor = 2;
   /// Bytes of a response; 0: a short text.
   size_t responseBytes = 0;
 };
@@ -90,6 +95,8 @@
   /// Sends once more a heartbeat that was sent before it left.
   bool SendLateBeat();
 
+  int64_t ColdRemainingMs() const;
+
   /// Number of runs by Attempt-Id.
   std::map<std::string, int> Runs() const;
   /// Times of the runs that began at aSinceMs or later.
@@ -106,6 +113,7 @@
   Record& m_record;
   const std::string m_id;
   const int64_t m_bornMs;
+  const int64_t m_coldUntilMs;
   std::atomic<bool> m_stopping{ false };
   std::atomic<bool> m_beating{ true };
   std::atomic<int> m_sequence{ 0 };
@@ -171,6 +179,8 @@
   /// Starts everything and waits until each daemon answers for each service.
   bool Start();
   void StartDaemon(size_t aMachine);
+  /// Ends the server of a machine, if it runs, and starts another one.
+  bool RestartServer(size_t aMachine);
   void SignalDaemon(size_t aMachine, int aSignal);
   /// Returns true if the daemon has ended. Reaps it.
   bool HasDaemonEnded(size_t aMachine);
@@ -210,6 +220,58 @@
   int m_timeoutMs = 0;
 };
 
+/// How many requests were sent and served.
+struct Share
+{
+  int asked = 0;
+  int served = 0;
+
+  double Served() const
+  {
+    return asked == 0 ? 0 : static_cast<double>(served) / asked;
+  }
+  std::string Describe() const
+  {
+    return std::to_string(served) + " of " + std::to_string(asked);
+  }
+};
+
+/// Clients at each machine of a fleet, which must outlive them. Each sends one
+/// request after the other, and asks again after a refusal when it is told to.
+class Clients
+{
+public:
+  /// Makes the request with this number of a client.
+  using MakeRequest = std::function<ClientRequest(size_t aClient, int aNumber)>;
+
+  Clients(Fleet& aFleet, size_t aPerMachine, MakeRequest aMakeRequest);
+  ~Clients();
+  Clients(const Clients&) = delete;
+  Clients& operator=(const Clients&) = delete;
+
+  /// Requests that were sent in this time.
+  Share Between(int64_t aFromMs, int64_t aToMs) const;
+
+private:
+  void Run(size_t aClient);
+
+  Fleet& m_fleet;
+  const MakeRequest m_makeRequest;
+  std::atomic<bool> m_stopping{ false };
+  mutable std::mutex m_mutex;
+  std::vector<Answer> m_answers;
+  std::vector<std::thread> m_threads;
+};
+
+/// Checks the rule RECOVER for a fault at aFaultMs after which all machines are
+/// back at aBackMs. Lasts until 30 s after that. Returns an exit status.
+int
+CheckRecovery(Fleet& aFleet,
+              const Clients& aClients,
+              int64_t aStartMs,
+              int64_t aFaultMs,
+              int64_t aBackMs);
+
 /// Exit statuses of a case.
 inline constexpr int kHeld = 0;
 inline constexpr int kBroken = 1;
