Count what is sent to peers, by kind of frame and by region

wb_peer_sent_bytes has the bytes by kind of frame and region; the event sent_to_other_regions has frames and bytes to other regions, at most once in 5 s for each daemon. No logic changes.

--- a/wagtailbend/mesh/frame_stream.cc
+++ b/wagtailbend/mesh/frame_stream.cc
@@ -57,7 +57,13 @@
   if (!m_open) {
     return;
   }
-  m_sendBuffer.append(EncodeFrame(aFrame));
+  const std::string encoded = EncodeFrame(aFrame);
+  if (m_traffic != nullptr) {
+    FrameCount& count = (*m_traffic)[static_cast<size_t>(aFrame.body_case())];
+    ++count.frames;
+    count.bytes += encoded.size();
+  }
+  m_sendBuffer.append(encoded);
   if (std::exchange(m_flushPosted, true)) {
     return;
   }
--- a/wagtailbend/mesh/frame_stream.h
+++ b/wagtailbend/mesh/frame_stream.h
@@ -14,6 +14,7 @@
 
 #include "wagtailbend/base/time.h"
 #include "wagtailbend/mesh.pb.h"
+#include "wagtailbend/mesh/frame_traffic.h"
 #include "wagtailbend/net/stream_writer.h"
 
 namespace wagtailbend::mesh {
@@ -38,6 +39,8 @@
   void Start();
   /// Replaces the handler. May be called from the current handler.
   void SetHandler(Handler aHandler);
+  /// Counts frames sent from now on. aCounts must outlive the stream.
+  void SetTraffic(FrameCounts& aCounts) { m_traffic = &aCounts; }
   /// Sends a frame. Frames sent within one iteration of the event loop are
   /// combined into one write.
   void Send(const wire::Frame& aFrame);
@@ -68,6 +71,7 @@
   net::StreamWriter m_writer;
   /// Shared, because a callback may replace or reset the handler while it runs.
   std::shared_ptr<const Handler> m_handler;
+  FrameCounts* m_traffic = nullptr;
   bool m_open = true;
   bool m_flushPosted = false;
   std::string m_receiveBuffer;
--- a/wagtailbend/mesh/mesh_test.cc
+++ b/wagtailbend/mesh/mesh_test.cc
@@ -35,6 +35,7 @@
     report.storeGeneration = 3;
     return report;
   }
+  FrameTraffic& Traffic() override { return m_traffic; }
   void OnMember(const Member& aMember) override
   {
     m_members.push_back(aMember);
@@ -78,6 +79,7 @@
   }
 
   Member m_self;
+  FrameTraffic m_traffic;
   routes::RouteConfig m_config;
   std::vector<Member> m_members;
   std::vector<quarantine::SuspectEntry> m_localSuspects;
--- a/wagtailbend/mesh/node_context.h
+++ b/wagtailbend/mesh/node_context.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "wagtailbend/exchange/attempt.h"
+#include "wagtailbend/mesh/frame_traffic.h"
 #include "wagtailbend/mesh/member.h"
 #include "wagtailbend/quarantine/quarantine_list.h"
 #include "wagtailbend/routes/route_table.h"
@@ -27,6 +28,9 @@
   /// Returns the load of the local target.
   virtual exchange::LoadReport LocalReport() = 0;
 
+  /// Returns the counts of frames sent to peers; outlives all connections.
+  virtual FrameTraffic& Traffic() = 0;
+
   virtual void OnMember(const Member& aMember) = 0;
   virtual void OnReport(const std::string& aAddress,
                         const exchange::LoadReport& aReport) = 0;
--- a/wagtailbend/mesh/peer_link.cc
+++ b/wagtailbend/mesh/peer_link.cc
@@ -235,6 +235,8 @@
     }
   };
   m_stream = FrameStream::Make(std::move(aSocket), std::move(handler));
+  m_stream->SetTraffic(m_otherRegion ? m_context.Traffic().otherRegion
+                                     : m_context.Traffic().sameRegion);
   m_stream->Start();
   wire::Frame frame;
   wire::Hello& hello = *frame.mutable_hello();
--- a/wagtailbend/mesh/peer_server.cc
+++ b/wagtailbend/mesh/peer_server.cc
@@ -124,6 +124,9 @@
   session->peer = peer;
   session->disconnectedAt.reset();
   session->stream = aStream;
+  aStream->SetTraffic(peer.region == m_context.Self().region
+                        ? m_context.Traffic().sameRegion
+                        : m_context.Traffic().otherRegion);
   aStream->SetHandler(
     { [this, session](wire::Frame& aFrame) { OnFrame(session, aFrame); },
       [session, streamPointer = aStream.get()](std::string_view) {
--- a/wagtailbend/node/traffic_log.cc
+++ b/wagtailbend/node/traffic_log.cc
@@ -10,6 +10,8 @@
 
 namespace {
 
+constexpr Duration kTrafficLogInterval = std::chrono::seconds(5);
+
 /// Returns the rejections as "ADDRESS REASON, ADDRESS REASON".
 std::string
 FormatRejections(const std::vector<exchange::Rejection>& aRejections)
@@ -129,4 +131,28 @@
     .Info();
 }
 
+void
+TrafficLog::LogPeerTraffic(const mesh::FrameTraffic& aTraffic, TimePoint aNow)
+{
+  if (aNow - m_trafficLoggedAt < kTrafficLogInterval) {
+    return;
+  }
+  m_trafficLoggedAt = aNow;
+  observability::Event event("sent_to_other_regions");
+  for (size_t kind = 1; kind < m_loggedFrames.size(); ++kind) {
+    const mesh::FrameCount& now = aTraffic.otherRegion[kind];
+    const mesh::FrameCount& logged = m_loggedFrames[kind];
+    if (now == logged) {
+      continue;
+    }
+    event.Add(mesh::FrameKindName(kind),
+              fmt::format(
+                "{}/{}", now.frames - logged.frames, now.bytes - logged.bytes));
+  }
+  if (m_loggedFrames != aTraffic.otherRegion) {
+    event.Info();
+  }
+  m_loggedFrames = aTraffic.otherRegion;
+}
+
 } // namespace wagtailbend::node
--- a/wagtailbend/node/traffic_log.h
+++ b/wagtailbend/node/traffic_log.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "wagtailbend/exchange/request_dispatcher.h"
+#include "wagtailbend/mesh/frame_traffic.h"
 #include "wagtailbend/observability/event_rate_limiter.h"
 
 namespace wagtailbend::node {
@@ -29,6 +30,9 @@
                   TimePoint aNow);
   /// Logs the numbers of suppressed lines, at most once per second.
   void LogSuppressedCounts(TimePoint aNow);
+  /// Logs the frames sent to other regions since the last such line, at most
+  /// once in 5 seconds.
+  void LogPeerTraffic(const mesh::FrameTraffic& aTraffic, TimePoint aNow);
 
 private:
   /// In lines per second. A line costs about 10 us, so that both limits
@@ -39,6 +43,8 @@
   observability::EventRateLimiter m_lostLimiter{ 5 };
   observability::EventRateLimiter m_suspectLimiter{ 5 };
   TimePoint m_suppressedLoggedAt{};
+  mesh::FrameCounts m_loggedFrames{};
+  TimePoint m_trafficLoggedAt{};
 };
 
 } // namespace wagtailbend::node
--- a/wagtailbend/node/traffic_metrics.cc
+++ b/wagtailbend/node/traffic_metrics.cc
@@ -56,6 +56,32 @@
                        "Share of new requests that there is room for.",
                        [this, i] { return m_admissionLevels[i].load(); });
   }
+  AddFrameGauges("same", m_sameRegionBytes);
+  AddFrameGauges("other", m_otherRegionBytes);
+}
+
+void
+TrafficMetrics::AddFrameGauges(const char* aRegion, FrameGauges& aBytes)
+{
+  for (size_t kind = 1; kind < aBytes.size(); ++kind) {
+    m_registry.AddGauge(
+      fmt::format("wb_peer_sent_bytes{{region=\"{}\",kind=\"{}\"}}",
+                  aRegion,
+                  mesh::FrameKindName(kind)),
+      "Bytes of frames sent to other daemons.",
+      [&aBytes, kind] { return aBytes[kind].load(); });
+  }
+}
+
+void
+TrafficMetrics::SampleTraffic(const mesh::FrameTraffic& aTraffic)
+{
+  for (size_t kind = 1; kind < aTraffic.sameRegion.size(); ++kind) {
+    m_sameRegionBytes[kind] =
+      static_cast<double>(aTraffic.sameRegion[kind].bytes);
+    m_otherRegionBytes[kind] =
+      static_cast<double>(aTraffic.otherRegion[kind].bytes);
+  }
 }
 
 void
--- a/wagtailbend/node/traffic_metrics.h
+++ b/wagtailbend/node/traffic_metrics.h
@@ -8,6 +8,7 @@
 #include "wagtailbend/exchange/attempt.h"
 #include "wagtailbend/exchange/request_dispatcher.h"
 #include "wagtailbend/exchange/target_gateway.h"
+#include "wagtailbend/mesh/frame_traffic.h"
 #include "wagtailbend/observability/metrics.h"
 
 namespace wagtailbend::node {
@@ -26,8 +27,15 @@
               size_t aOpenRequests,
               size_t aLinksUp,
               size_t aMembers);
+  /// Updates the gauges of the frames sent to peers.
+  void SampleTraffic(const mesh::FrameTraffic& aTraffic);
 
 private:
+  using FrameGauges =
+    std::array<std::atomic<double>, std::tuple_size_v<mesh::FrameCounts>>;
+
+  void AddFrameGauges(const char* aRegion, FrameGauges& aBytes);
+
   observability::MetricsRegistry& m_registry;
   observability::DurationHistogram& m_clientLatency;
   observability::DurationHistogram& m_nestedLatency;
@@ -46,6 +54,8 @@
   std::atomic<double> m_lost{ 0 };
   std::atomic<double> m_invalidResponses{ 0 };
   std::atomic<double> m_connects{ 0 };
+  FrameGauges m_sameRegionBytes{};
+  FrameGauges m_otherRegionBytes{};
 };
 
 } // namespace wagtailbend::node
--- a/wagtailbend/node/traffic_node.cc
+++ b/wagtailbend/node/traffic_node.cc
@@ -249,6 +249,8 @@
                      m_dispatcher.OpenRequests(),
                      LinksUp(),
                      m_peers.size());
+    m_metrics.SampleTraffic(m_traffic);
+    m_log.LogPeerTraffic(m_traffic, now);
   }
   m_timer.expires_after(kTickInterval);
   m_timer.async_wait([this](const std::error_code& aCode) {
--- a/wagtailbend/node/traffic_node.h
+++ b/wagtailbend/node/traffic_node.h
@@ -109,6 +109,7 @@
   std::vector<mesh::Member> Members() const override;
   const routes::RouteConfig* Config() const override;
   exchange::LoadReport LocalReport() override;
+  mesh::FrameTraffic& Traffic() override { return m_traffic; }
   void OnMember(const mesh::Member& aMember) override;
   void OnReport(const std::string& aAddress,
                 const exchange::LoadReport& aReport) override;
@@ -231,6 +232,7 @@
   LocalChannel m_local;
   exchange::RequestDispatcher m_dispatcher;
   http1::Server m_server;
+  mesh::FrameTraffic m_traffic;
   mesh::PeerLinkLimits m_linkBudget;
   mesh::PeerServer m_peerServer;
   asio::steady_timer m_timer;
