--- a/wagtailbend/node/traffic_node_test.cc
+++ b/wagtailbend/node/traffic_node_test.cc
@@ -1,104 +1,24 @@
-#include "wagtailbend/node/traffic_node.h"
+#include "wagtailbend/node/testing/traffic_process.h"
 
 #include <chrono>
 #include <string>
 #include <thread>
 #include <vector>
 
-#include <asio/ip/tcp.hpp>
 #include <gtest/gtest.h>
 
-#include "wagtailbend/base/boot_time.h"
-
 namespace wagtailbend::node {
 namespace {
 
 using std::chrono::milliseconds;
 using targets::TargetRun;
+using testing::FreePort;
+using testing::RunUntil;
+using Process = testing::TrafficProcess;
 
 const TargetRun kEarlierRun{ "target-1", 50 };
 const TargetRun kRun{ "target-2", 100 };
 
-uint16_t
-FreePort()
-{
-  asio::io_context io;
-  const asio::ip::tcp::acceptor acceptor(
-    io, { asio::ip::address_v4::loopback(), 0 });
-  return acceptor.local_endpoint().port();
-}
-
-NodeSettings
-MakeSettings(uint16_t aMeshPort)
-{
-  NodeSettings settings;
-  settings.address = "127.0.0.1";
-  settings.failureDomain = "north";
-  settings.region = "region";
-  settings.service = "stock";
-  settings.targetAddress = "127.0.0.1:1";
-  settings.clientAddress = "127.0.0.1:" + std::to_string(FreePort());
-  settings.firstInternalPort = aMeshPort;
-  return settings;
-}
-
-/// One process of a daemon, without its control thread.
-class Process
-{
-public:
-  Process(uint16_t aMeshPort, uint64_t aIncarnation)
-    : m_metrics(m_registry)
-    , m_node(
-        m_io,
-        MakeSettings(aMeshPort),
-        {},
-        aIncarnation,
-        m_metrics,
-        { .onConfig = [](uint64_t, const std::string&) {},
-          .onLocalMember = [](const mesh::Member&) {},
-          .onEarlierLeave =
-            [this](const TargetRun& aRun) { m_earlierLeaves.push_back(aRun); },
-          .onTargetLeaving =
-            [this](const TargetRun& aRun) { m_leaves.push_back(aRun); },
-          .onStoreGeneration =
-            [this](uint64_t aGeneration) { m_generation = aGeneration; },
-          .onWatchStore = [](bool) {} })
-  {
-    EXPECT_TRUE(IsOk(m_node.Listen()));
-  }
-  ~Process() { m_io.stop(); }
-  Process(const Process&) = delete;
-  Process& operator=(const Process&) = delete;
-
-  void RunFor(int aMs)
-  {
-    m_io.restart();
-    m_io.run_for(milliseconds(aMs));
-  }
-
-  asio::io_context m_io;
-  observability::MetricsRegistry m_registry;
-  TrafficMetrics m_metrics;
-  std::vector<TargetRun> m_earlierLeaves;
-  std::vector<TargetRun> m_leaves;
-  uint64_t m_generation = 0;
-  TrafficNode m_node;
-};
-
-/// Runs both processes until aCondition holds. Returns false after 10 s, since
-/// a link needs up to 3 s to notice that its peer was replaced.
-template<typename Condition>
-bool
-RunUntil(Process& aFirst, Process& aSecond, Condition aCondition)
-{
-  const TimePoint end = BootNow() + std::chrono::seconds(10);
-  while (BootNow() < end && !aCondition()) {
-    aFirst.RunFor(5);
-    aSecond.RunFor(5);
-  }
-  return aCondition();
-}
-
 targets::TargetNotice
 LeavingNotice()
 {
