Evict the same crash suspects at all daemons

Cause: a full list evicted the entry that expired first.

Crash ids now have a logical time in their high bits, and a list keeps the entries with the latest crashes, which is the same choice everywhere whatever the order of arrival. Quarantined entries still go before suspects; since they may take up three quarters, the latest suspect always finds room.

The new test of quarantine_test fails before (three of four lists differ after three exchanges) and passes now.

--- a/wagtailbend/quarantine/quarantine_list.cc
+++ b/wagtailbend/quarantine/quarantine_list.cc
@@ -9,6 +9,19 @@
 namespace wagtailbend::quarantine {
 namespace {
 
+// Low bits of a crash id, which are random.
+constexpr int kRandomBits = 24;
+constexpr uint64_t kRandomMask = (uint64_t{ 1 } << kRandomBits) - 1;
+constexpr uint64_t kMaxCrashTime = UINT64_MAX >> kRandomBits;
+
+struct RankedEntry
+{
+  uint64_t latestCrashId = 0;
+  uint64_t fingerprint = 0;
+
+  auto operator<=>(const RankedEntry&) const = default;
+};
+
 // Keeps the largest loss ids, so that the result of a merge does not depend on
 // the order. Returns true if aEntry changed.
 bool
@@ -126,6 +139,7 @@
   for (const uint64_t fingerprint : distinct) {
     entries.push_back(AddLoss(fingerprint, aNow, aRng));
   }
+  Trim();
   return entries;
 }
 
@@ -134,7 +148,9 @@
                                       TimePoint aNow,
                                       Rng& aRng)
 {
-  return AddLoss(aFingerprint, aNow, aRng);
+  const SuspectEntry entry = AddLoss(aFingerprint, aNow, aRng);
+  Trim();
+  return entry;
 }
 
 std::optional<SuspectEntry>
@@ -149,7 +165,9 @@
        record->expiresAt - m_limits.lifetime >= aStartedAt)) {
     return std::nullopt;
   }
-  return AddLoss(aFingerprint, aNow, aRng);
+  const SuspectEntry entry = AddLoss(aFingerprint, aNow, aRng);
+  Trim();
+  return entry;
 }
 
 TimePoint
@@ -169,6 +187,7 @@
     bool changed = false;
     for (const uint64_t loss : entry.crashIds) {
       changed = InsertLoss(record.entry, loss) || changed;
+      m_lastCrashTime = std::max(m_lastCrashTime, loss >> kRandomBits);
     }
     record.entry.cleared |= entry.cleared;
     // Only new crashes extend the expiry. Otherwise gossip of known crashes
@@ -178,6 +197,7 @@
       record.expiresAt = std::max(record.expiresAt, aNow + remaining);
     }
   }
+  Trim();
 }
 
 std::vector<SuspectEntry>
@@ -244,30 +264,50 @@
     }
     return found->second;
   }
-  if (m_records.size() >= m_limits.maxEntries) {
-    EvictOne();
-  }
   return m_records.emplace(aFingerprint, Record{ { aFingerprint }, aNow })
     .first->second;
 }
 
+uint64_t
+QuarantineList::NextCrashId(Rng& aRng)
+{
+  m_lastCrashTime = std::min(m_lastCrashTime + 1, kMaxCrashTime);
+  return (m_lastCrashTime << kRandomBits) | (aRng() & kRandomMask);
+}
+
 void
-QuarantineList::EvictOne()
+QuarantineList::Trim()
 {
-  const auto first =
-    std::ranges::min_element(m_records, {}, [](const auto& aItem) {
-      const Record& record = aItem.second;
-      return std::pair(record.entry.IsQuarantined(), record.expiresAt);
-    });
-  m_records.erase(first);
+  std::vector<RankedEntry> quarantined;
+  std::vector<RankedEntry> suspects;
+  for (const auto& [fingerprint, record] : m_records) {
+    (record.entry.IsQuarantined() ? quarantined : suspects)
+      .push_back({ record.entry.crashIds.back(), fingerprint });
+  }
+  const auto evictAbove = [this](std::vector<RankedEntry>& aEntries,
+                                 size_t aLimit) {
+    if (aEntries.size() <= aLimit) {
+      return;
+    }
+    const auto firstKept =
+      aEntries.begin() + static_cast<ptrdiff_t>(aEntries.size() - aLimit);
+    std::ranges::nth_element(aEntries, firstKept);
+    for (auto evicted = aEntries.begin(); evicted != firstKept; ++evicted) {
+      m_records.erase(evicted->fingerprint);
+    }
+  };
+  const size_t quarantinedLimit = m_limits.maxEntries * 3 / 4;
+  evictAbove(quarantined, quarantinedLimit);
+  evictAbove(suspects,
+             m_limits.maxEntries -
+               std::min(quarantined.size(), quarantinedLimit));
 }
 
 SuspectEntry
 QuarantineList::AddLoss(uint64_t aFingerprint, TimePoint aNow, Rng& aRng)
 {
   Record& record = FindOrInsert(aFingerprint, aNow);
-  // 0 means no loss, so the random id must not be 0.
-  InsertLoss(record.entry, aRng() | 1);
+  InsertLoss(record.entry, NextCrashId(aRng));
   record.expiresAt = aNow + m_limits.lifetime;
   SuspectEntry entry = record.entry;
   entry.remaining = m_limits.lifetime;
--- a/wagtailbend/quarantine/quarantine_list.h
+++ b/wagtailbend/quarantine/quarantine_list.h
@@ -40,8 +40,9 @@
 struct SuspectEntry
 {
   uint64_t fingerprint = 0;
-  /// A random id for each target crash, ascending; 0: unused. If there are more
-  /// than kMaxCrashes, the largest are kept.
+  /// An id for each target crash, ascending; 0: unused. The high bits are the
+  /// logical time of the crash, the others are random. If there are more than
+  /// kMaxCrashes, the largest are kept.
   std::array<uint64_t, kMaxCrashes> crashIds{};
   /// A target survived a trial. Has no effect once quarantined.
   bool cleared = false;
@@ -76,8 +77,9 @@
 struct QuarantineLimits
 {
   Duration lifetime = std::chrono::minutes(10);
-  /// Above this count the entry that expires first is evicted, suspects before
-  /// quarantined entries.
+  /// Above this count the entries with the oldest latest crash are evicted.
+  /// Quarantined entries may take up three quarters of it, and suspects the
+  /// rest.
   size_t maxEntries = 4096;
   /// Upper bound for the time in which an update reaches all daemons of the
   /// failure domain; equals the bound for membership changes.
@@ -101,6 +103,9 @@
 /// - while daemons disagree about which daemons are live;
 /// - after the entry expired or was evicted.
 ///
+/// Lists that exchange their entries become equal, also if there are more than
+/// QuarantineLimits::maxEntries, because all of them evict the same ones.
+///
 /// Not thread-safe: callers must serialize all access.
 class QuarantineList
 {
@@ -169,12 +174,17 @@
 
   const Record* Find(uint64_t aFingerprint, TimePoint aNow) const;
   Record& FindOrInsert(uint64_t aFingerprint, TimePoint aNow);
-  void EvictOne();
+  /// Returns an id that is larger than those of all known crashes.
+  uint64_t NextCrashId(Rng& aRng);
+  /// Evicts entries above the limits. Invalidates references to records.
+  void Trim();
   SuspectEntry AddLoss(uint64_t aFingerprint, TimePoint aNow, Rng& aRng);
 
   DaemonId m_self;
   QuarantineLimits m_limits;
   std::unordered_map<uint64_t, Record> m_records;
+  /// Logical time of the latest known crash (Lamport clock).
+  uint64_t m_lastCrashTime = 0;
   /// Suspects in flight at the local target.
   std::set<uint64_t> m_trials;
 };
--- a/wagtailbend/quarantine/quarantine_list_test.cc
+++ b/wagtailbend/quarantine/quarantine_list_test.cc
@@ -185,6 +185,44 @@
   EXPECT_TRUE(list.Export(1, kNow).front().IsQuarantined());
 }
 
+// Guards against lists at their limit that differ for ever because each evicts
+// other entries, though entries reach them in another order and at other times.
+TEST(QuarantineList, FullListsThatExchangeEntriesBecomeEqual)
+{
+  constexpr size_t kLists = 4;
+  constexpr size_t kMaxRounds = 3;
+  Rng rng(1);
+  QuarantineLimits limits;
+  limits.maxEntries = 20;
+  std::vector<QuarantineList> lists(kLists,
+                                    QuarantineList(SelectedDaemon(), limits));
+  for (uint64_t fingerprint = 1; fingerprint <= 60; ++fingerprint) {
+    QuarantineList& list = lists[fingerprint % kLists];
+    CrashTarget(list, { fingerprint }, rng);
+    if (fingerprint % 3 == 0) {
+      CrashTarget(list, { fingerprint }, rng);
+    }
+  }
+  TimePoint now = kNow;
+  for (size_t round = 0; round < kMaxRounds; ++round) {
+    std::vector<std::vector<SuspectEntry>> exported;
+    for (const QuarantineList& list : lists) {
+      exported.push_back(list.Export(limits.maxEntries, now));
+    }
+    for (QuarantineList& list : lists) {
+      std::ranges::shuffle(exported, rng);
+      for (const std::vector<SuspectEntry>& entries : exported) {
+        now += std::chrono::milliseconds(1);
+        list.Merge(entries, now);
+      }
+    }
+  }
+  for (const QuarantineList& list : lists) {
+    EXPECT_EQ(list.Digest(now), lists.front().Digest(now));
+    EXPECT_EQ(list.Size(), limits.maxEntries);
+  }
+}
+
 // Guards against suspects that wait for each other though several may run, and
 // against copies of one suspect that run together.
 TEST(QuarantineList, LimitsConcurrentTrials)
