Ask one peer for the crash suspects that differ

Cause: each Hello and each Welcome carried up to 512 crash suspects, 12 KB. After half of 89 daemons are killed, 563 suspects are known, and every daemon opens links to every other one. The handshakes fill the link between the regions, time out, and are sent again: the overload sustains itself long after the kill. Configurations, store calls and pings wait behind it. With digests that differ, each daemon also sent its whole list to each peer.

Now a daemon that sees another digest asks one peer, at most once a second and in its own region first, for the entries in those of 64 parts that differ. A daemon without suspects asks at once. A Welcome carries only what changed while the connection of the same process was lost, so that a peer still knows a suspect before the results of its attempts. What a daemon sends for this no longer grows with the number of its links.

--- a/wagtailbend/mesh/convert.cc
+++ b/wagtailbend/mesh/convert.cc
@@ -317,6 +317,24 @@
   return entries;
 }
 
+wire::SuspectsRequest
+ToProto(const quarantine::ListDigests& aDigests)
+{
+  wire::SuspectsRequest message;
+  message.mutable_digests()->Assign(aDigests.begin(), aDigests.end());
+  return message;
+}
+
+quarantine::ListDigests
+FromProto(const wire::SuspectsRequest& aRequest)
+{
+  quarantine::ListDigests digests{};
+  const int count =
+    std::min(aRequest.digests_size(), static_cast<int>(digests.size()));
+  std::copy_n(aRequest.digests().begin(), count, digests.begin());
+  return digests;
+}
+
 wire::RouteConfig
 ToProto(const routes::RouteConfig& aConfig)
 {
--- a/wagtailbend/mesh/convert.h
+++ b/wagtailbend/mesh/convert.h
@@ -47,6 +47,12 @@
 std::vector<quarantine::SuspectEntry>
 FromProto(const wire::Suspects& aSuspects);
 
+wire::SuspectsRequest
+ToProto(const quarantine::ListDigests& aDigests);
+/// Missing digests are 0.
+quarantine::ListDigests
+FromProto(const wire::SuspectsRequest& aRequest);
+
 wire::RouteConfig
 ToProto(const routes::RouteConfig& aConfig);
 routes::RouteConfig
--- a/wagtailbend/mesh/frame_traffic.h
+++ b/wagtailbend/mesh/frame_traffic.h
@@ -26,7 +26,8 @@
 
 /// Indexed by wire::Frame::BodyCase.
 using FrameCounts =
-  std::array<FrameCount, static_cast<size_t>(wire::Frame::kRunNotice) + 1>;
+  std::array<FrameCount,
+             static_cast<size_t>(wire::Frame::kSuspectsRequest) + 1>;
 
 /// Not thread-safe.
 struct FrameTraffic
--- a/wagtailbend/mesh/mesh_test.cc
+++ b/wagtailbend/mesh/mesh_test.cc
@@ -54,9 +54,19 @@
     ++m_configRequestChecks;
     return m_allowConfigRequest;
   }
-  std::vector<quarantine::SuspectEntry> CrashSuspects() const override
+  std::vector<quarantine::SuspectEntry> CrashSuspectsSince(
+    TimePoint aSince) const override
   {
-    return m_localSuspects;
+    return m_suspectsChangedAt > aSince
+             ? m_localSuspects
+             : std::vector<quarantine::SuspectEntry>{};
+  }
+  std::vector<quarantine::SuspectEntry> CrashSuspectsDiffering(
+    const quarantine::ListDigests& aDigests) const override
+  {
+    return aDigests == m_differingDigests
+             ? m_localSuspects
+             : std::vector<quarantine::SuspectEntry>{};
   }
   uint64_t SuspectsDigest() const override { return 5; }
   void OnCrashSuspects(
@@ -83,6 +93,8 @@
   routes::RouteConfig m_config;
   std::vector<Member> m_members;
   std::vector<quarantine::SuspectEntry> m_localSuspects;
+  TimePoint m_suspectsChangedAt{};
+  quarantine::ListDigests m_differingDigests{};
   std::vector<quarantine::SuspectEntry> m_suspects;
   std::vector<std::string> m_linkEvents;
   std::vector<uint64_t> m_runNotices;
@@ -383,6 +395,57 @@
   EXPECT_EQ(m_target.Requests().size(), 1U);
 }
 
+const quarantine::SuspectEntry kSuspect = { 77,
+                                            { 0, 5 },
+                                            false,
+                                            std::chrono::minutes(1) };
+
+// Guards against a retry of a request whose crash was reported while the link
+// was down.
+TEST_F(MeshTest, AReconnectBringsTheSuspectsThatWereMissed)
+{
+  RunFor(60);
+  m_serverNode.m_localSuspects = { kSuspect };
+  m_serverNode.m_suspectsChangedAt = BootNow();
+  m_proxy->CloseConnections();
+  RunFor(100);
+  ASSERT_TRUE(m_link->IsUp());
+  ASSERT_EQ(m_clientNode.m_suspects.size(), 1U);
+  EXPECT_EQ(m_clientNode.m_suspects[0].fingerprint, kSuspect.fingerprint);
+}
+
+// Guards against handshakes that carry what the peer knows or asks for anyway.
+TEST_F(MeshTest, AHandshakeBringsNoOtherSuspects)
+{
+  m_serverNode.m_localSuspects = { kSuspect };
+  m_clientNode.m_localSuspects = { kSuspect };
+  m_serverNode.m_suspectsChangedAt = BootNow();
+  m_clientNode.m_suspectsChangedAt = BootNow();
+  RunFor(60);
+  m_proxy->CloseConnections();
+  RunFor(100);
+  ASSERT_TRUE(m_link->IsUp());
+  EXPECT_TRUE(m_clientNode.m_suspects.empty());
+  EXPECT_TRUE(m_serverNode.m_suspects.empty());
+}
+
+// Guards against lists that differ for good after an update was lost.
+TEST_F(MeshTest, ARequestBringsTheSuspectsThatDiffer)
+{
+  RunFor(60);
+  m_serverNode.m_localSuspects = { kSuspect };
+  m_serverNode.m_differingDigests[3] = 9;
+  wire::Frame frame;
+  *frame.mutable_suspects_request() = ToProto(quarantine::ListDigests{});
+  m_link->Send(frame);
+  RunFor(60);
+  EXPECT_TRUE(m_clientNode.m_suspects.empty());
+  *frame.mutable_suspects_request() = ToProto(m_serverNode.m_differingDigests);
+  m_link->Send(frame);
+  RunFor(60);
+  EXPECT_EQ(m_clientNode.m_suspects.size(), 1U);
+}
+
 // Guards against an unknown outcome for an order that never reached the peer
 // because its connection had gone silent.
 TEST_F(MeshTest, AttemptOnSilentConnectionIsNotRun)
--- a/wagtailbend/mesh/node_context.h
+++ b/wagtailbend/mesh/node_context.h
@@ -40,8 +40,12 @@
   /// daemons read it from the store.
   virtual bool ShouldRequestConfig(uint64_t aVersion,
                                    const std::string& aAddress) = 0;
-  /// Returns the crash suspects that a peer has to know when it connects.
-  virtual std::vector<quarantine::SuspectEntry> CrashSuspects() const = 0;
+  /// Returns the crash suspects that changed after aSince.
+  virtual std::vector<quarantine::SuspectEntry> CrashSuspectsSince(
+    TimePoint aSince) const = 0;
+  /// Returns the crash suspects in which a list with these digests may differ.
+  virtual std::vector<quarantine::SuspectEntry> CrashSuspectsDiffering(
+    const quarantine::ListDigests& aDigests) const = 0;
   /// Returns a digest of the crash suspects; never 0.
   virtual uint64_t SuspectsDigest() const = 0;
   virtual void OnCrashSuspects(
--- a/wagtailbend/mesh/peer_link.cc
+++ b/wagtailbend/mesh/peer_link.cc
@@ -243,7 +243,6 @@
   *hello.mutable_member() = ToProto(m_context.Self());
   hello.set_config_version(ConfigVersionOf(m_context));
   hello.set_wants_members(m_context.Members().size() <= 1);
-  *hello.mutable_suspects() = ToProto(m_context.CrashSuspects());
   m_stream->Send(frame);
 }
 
--- a/wagtailbend/mesh/peer_server.cc
+++ b/wagtailbend/mesh/peer_server.cc
@@ -106,6 +106,20 @@
   stream->Start();
 }
 
+std::optional<TimePoint>
+PeerServer::Session::LastHeardAt() const
+{
+  return stream ? stream->LastReceivedAt() : lastHeardAt;
+}
+
+void
+PeerServer::Session::Disconnect(TimePoint aNow)
+{
+  lastHeardAt = stream->LastReceivedAt();
+  disconnectedAt = aNow;
+  stream.reset();
+}
+
 void
 PeerServer::OnHello(const std::shared_ptr<FrameStream>& aStream,
                     const wire::Hello& aHello)
@@ -116,6 +130,7 @@
   if (!session) {
     session = std::make_shared<Session>();
   }
+  const std::optional<TimePoint> lastHeardAt = session->LastHeardAt();
   if (session->stream) {
     // Discards frames not yet read from the earlier connection, so that no
     // attempt arrives there after Reattach reports it as not received.
@@ -131,16 +146,17 @@
     { [this, session](wire::Frame& aFrame) { OnFrame(session, aFrame); },
       [session, streamPointer = aStream.get()](std::string_view) {
         if (session->stream.get() == streamPointer) {
-          session->stream.reset();
-          session->disconnectedAt = BootNow();
+          session->Disconnect(BootNow());
         }
       } });
   wire::Frame frame;
   wire::Welcome& welcome = *frame.mutable_welcome();
   *welcome.mutable_member() = ToProto(m_context.Self());
   *welcome.mutable_report() = ToProto(m_context.LocalReport());
-  m_context.OnCrashSuspects(FromProto(aHello.suspects()));
-  *welcome.mutable_suspects() = ToProto(m_context.CrashSuspects());
+  if (lastHeardAt) {
+    *welcome.mutable_suspects() =
+      ToProto(m_context.CrashSuspectsSince(*lastHeardAt));
+  }
   if (aHello.wants_members()) {
     for (const Member& member : m_context.Members()) {
       *welcome.add_members() = ToProto(member);
@@ -190,6 +206,16 @@
     case wire::Frame::kSuspects:
       m_context.OnCrashSuspects(FromProto(aFrame.suspects()));
       return;
+    case wire::Frame::kSuspectsRequest: {
+      const auto suspects =
+        m_context.CrashSuspectsDiffering(FromProto(aFrame.suspects_request()));
+      if (!suspects.empty()) {
+        wire::Frame response;
+        *response.mutable_suspects() = ToProto(suspects);
+        aSession->stream->Send(response);
+      }
+      return;
+    }
     case wire::Frame::kRunNotice:
       m_context.OnRunNotice(aSession->peer.address,
                             aFrame.run_notice().fingerprint());
@@ -362,8 +388,7 @@
         aNow - session->stream->LastReceivedAt() >
           m_linkLimits.SessionTimeout()) {
       session->stream->Close();
-      session->stream.reset();
-      session->disconnectedAt = aNow;
+      session->Disconnect(aNow);
     }
     std::erase_if(session->attempts, [aNow](const auto& aAttempt) {
       const ReceivedAttempt& received = aAttempt.second;
--- a/wagtailbend/mesh/peer_server.h
+++ b/wagtailbend/mesh/peer_server.h
@@ -80,10 +80,18 @@
     bool isNew = true;
     /// Time at which the connection was lost; unset while connected.
     std::optional<TimePoint> disconnectedAt;
+    /// Time at which data was last received on the earlier connection.
+    std::optional<TimePoint> lastHeardAt;
     /// Number of attempts without a result.
     size_t unfinishedCount = 0;
     /// Newest configuration version that the peer has announced.
     uint64_t configVersion = 0;
+
+    /// Returns the time at which data was last received; unset before the
+    /// first connection.
+    std::optional<TimePoint> LastHeardAt() const;
+    /// Records that the connection was lost. Precondition: there is one.
+    void Disconnect(TimePoint aNow);
   };
   using SessionPtr = std::shared_ptr<Session>;
 
--- a/wagtailbend/node/traffic_node.cc
+++ b/wagtailbend/node/traffic_node.cc
@@ -46,23 +46,16 @@
 // sampled at the ratio of this number to their count.
 constexpr size_t kTargetSampleSize = 16;
 
-// All of them are sent to each peer that connects.
-constexpr size_t kMaxSuspects = 512;
 // Requests that crash targets are sent again within minutes. The short lifetime
 // bounds the harm to a request that merely was running at two crashes.
 constexpr quarantine::QuarantineLimits kQuarantineLimits = {
   .lifetime = std::chrono::minutes(2),
-  .maxEntries = kMaxSuspects,
+  .maxEntries = 512,
   // Most suspects only happened to be running at a crash, and their customers
   // wait for them.
   .maxConcurrentTrials = 4
 };
 
-// A peer that reports other crash suspects than this daemon for the first of
-// these times is sent all of them, at most once in the second.
-constexpr Duration kSuspectsSettleTime = std::chrono::milliseconds(500);
-constexpr Duration kSuspectsSendInterval = std::chrono::seconds(2);
-
 // Shares of the retry budget: for retries at other targets, chosen by the
 // request dispatcher, and for retries at the local target after a rejection.
 constexpr double kDispatcherRetryShare = 0.3;
@@ -445,6 +438,7 @@
       unreachable.push_back(current->first);
     }
     m_peerRuns.Forget(current->first);
+    m_suspectSync.Forget(current->first);
     m_peers.erase(current);
   }
   UpdateDaemonCounts();
@@ -638,9 +632,16 @@
 }
 
 std::vector<quarantine::SuspectEntry>
-TrafficNode::CrashSuspects() const
+TrafficNode::CrashSuspectsSince(TimePoint aSince) const
+{
+  return m_quarantine.ExportSince(aSince, BootNow());
+}
+
+std::vector<quarantine::SuspectEntry>
+TrafficNode::CrashSuspectsDiffering(
+  const quarantine::ListDigests& aDigests) const
 {
-  return m_quarantine.Export(kMaxSuspects, BootNow());
+  return m_quarantine.ExportDiffering(aDigests, BootNow());
 }
 
 void
@@ -668,24 +669,19 @@
 }
 
 void
-TrafficNode::CompareSuspects(Peer& aPeer, uint64_t aDigest)
+TrafficNode::CompareSuspects(const Peer& aPeer, uint64_t aDigest)
 {
-  if (aDigest == 0 || aDigest == m_suspectsDigest) {
-    aPeer.suspectsDifferSince.reset();
-    return;
-  }
   const TimePoint now = BootNow();
-  if (!aPeer.suspectsDifferSince) {
-    aPeer.suspectsDifferSince = now;
-  }
-  // Updates may still be on their way.
-  if (now - *aPeer.suspectsDifferSince < kSuspectsSettleTime ||
-      now - aPeer.suspectsSentAt < kSuspectsSendInterval) {
+  const bool isOtherRegion =
+    aPeer.distance == placement::Distance::kOtherRegion;
+  if (!aPeer.link->IsUp() ||
+      !m_suspectSync.OnDigest({ aPeer.member.address, aDigest, isOtherRegion },
+                              { m_suspectsDigest, m_quarantine.Size() == 0 },
+                              now)) {
     return;
   }
-  aPeer.suspectsSentAt = now;
   mesh::wire::Frame frame;
-  *frame.mutable_suspects() = mesh::ToProto(CrashSuspects());
+  *frame.mutable_suspects_request() = mesh::ToProto(m_quarantine.Digests(now));
   aPeer.link->Send(frame);
 }
 
--- a/wagtailbend/node/traffic_node.h
+++ b/wagtailbend/node/traffic_node.h
@@ -31,6 +31,7 @@
 #include "wagtailbend/node/traffic_metrics.h"
 #include "wagtailbend/quarantine/peer_runs.h"
 #include "wagtailbend/quarantine/quarantine_list.h"
+#include "wagtailbend/quarantine/suspect_sync.h"
 #include "wagtailbend/routes/route_table.h"
 
 namespace wagtailbend::node {
@@ -116,7 +117,10 @@
   void OnConfig(const routes::RouteConfig& aConfig) override;
   bool ShouldRequestConfig(uint64_t aVersion,
                            const std::string& aAddress) override;
-  std::vector<quarantine::SuspectEntry> CrashSuspects() const override;
+  std::vector<quarantine::SuspectEntry> CrashSuspectsSince(
+    TimePoint aSince) const override;
+  std::vector<quarantine::SuspectEntry> CrashSuspectsDiffering(
+    const quarantine::ListDigests& aDigests) const override;
   uint64_t SuspectsDigest() const override { return m_suspectsDigest; }
   void OnCrashSuspects(
     const std::vector<quarantine::SuspectEntry>& aSuspects) override;
@@ -187,9 +191,6 @@
     /// Target run that left during an earlier process of this peer, until the
     /// peer says so itself.
     targets::TargetRun earlierLeave;
-    /// Since when the peer reports other crash suspects than this daemon has.
-    std::optional<TimePoint> suspectsDifferSince;
-    TimePoint suspectsSentAt{};
     /// When the link was last up or the member record last changed.
     TimePoint lastUpAt{};
     /// Mean run time at the target by route.
@@ -214,8 +215,9 @@
   /// region.
   void SendConfigVersion();
   void SendCrashSuspects(const std::vector<quarantine::SuspectEntry>& aEntries);
-  /// Sends all crash suspects to a peer that keeps reporting others.
-  void CompareSuspects(Peer& aPeer, uint64_t aDigest);
+  /// Asks a peer that reports other crash suspects for those that this daemon
+  /// lacks.
+  void CompareSuspects(const Peer& aPeer, uint64_t aDigest);
   void UpdateSuspectsDigest();
   /// Tells a peer that a request of a local client runs at the local target.
   void SendRunNotice(uint64_t aFingerprint);
@@ -262,6 +264,7 @@
   /// See Witness.
   std::string m_witness;
   quarantine::PeerRuns m_peerRuns;
+  quarantine::SuspectSync m_suspectSync;
 };
 
 } // namespace wagtailbend::node
--- a/wagtailbend/quarantine/quarantine_list.cc
+++ b/wagtailbend/quarantine/quarantine_list.cc
@@ -1,6 +1,8 @@
 #include "wagtailbend/quarantine/quarantine_list.h"
 
 #include <algorithm>
+#include <functional>
+#include <numeric>
 #include <tuple>
 #include <utility>
 
@@ -120,6 +122,7 @@
     return std::nullopt;
   }
   found->second.entry.cleared = true;
+  found->second.changedAt = aNow;
   SuspectEntry entry = found->second.entry;
   entry.remaining = found->second.expiresAt - aNow;
   return entry;
@@ -189,6 +192,9 @@
       changed = InsertLoss(record.entry, loss) || changed;
       m_lastCrashTime = std::max(m_lastCrashTime, loss >> kRandomBits);
     }
+    if (changed || (entry.cleared && !record.entry.cleared)) {
+      record.changedAt = aNow;
+    }
     record.entry.cleared |= entry.cleared;
     // Only new crashes extend the expiry. Otherwise gossip of known crashes
     // between daemons would keep the entry alive forever.
@@ -200,17 +206,26 @@
   Trim();
 }
 
+template<typename Predicate>
 std::vector<SuspectEntry>
-QuarantineList::Export(size_t aMax, TimePoint aNow) const
+QuarantineList::Select(TimePoint aNow, Predicate aPredicate) const
 {
   std::vector<SuspectEntry> entries;
   for (const auto& [fingerprint, record] : m_records) {
-    if (record.expiresAt <= aNow) {
+    if (record.expiresAt <= aNow || !aPredicate(record)) {
       continue;
     }
     entries.push_back(record.entry);
     entries.back().remaining = record.expiresAt - aNow;
   }
+  return entries;
+}
+
+std::vector<SuspectEntry>
+QuarantineList::Export(size_t aMax, TimePoint aNow) const
+{
+  std::vector<SuspectEntry> entries =
+    Select(aNow, [](const Record&) { return true; });
   std::ranges::sort(
     entries, [](const SuspectEntry& aLeft, const SuspectEntry& aRight) {
       return std::tuple(aRight.IsQuarantined(), aRight.remaining) <
@@ -220,20 +235,49 @@
   return entries;
 }
 
-uint64_t
-QuarantineList::Digest(TimePoint aNow) const
+std::vector<SuspectEntry>
+QuarantineList::ExportSince(TimePoint aSince, TimePoint aNow) const
+{
+  return Select(aNow, [aSince](const Record& aRecord) {
+    return aRecord.changedAt > aSince;
+  });
+}
+
+std::vector<SuspectEntry>
+QuarantineList::ExportDiffering(const ListDigests& aDigests,
+                                TimePoint aNow) const
 {
-  uint64_t digest = 0;
+  const ListDigests own = Digests(aNow);
+  return Select(aNow, [&own, &aDigests](const Record& aRecord) {
+    const size_t bucket = aRecord.entry.fingerprint % own.size();
+    return own[bucket] != aDigests[bucket];
+  });
+}
+
+ListDigests
+QuarantineList::Digests(TimePoint aNow) const
+{
+  ListDigests digests{};
   for (const auto& [fingerprint, record] : m_records) {
     if (record.expiresAt <= aNow) {
       continue;
     }
     const auto& ids = record.entry.crashIds;
-    digest ^= XXH64(ids.data(),
-                    sizeof(ids),
-                    fingerprint + static_cast<uint64_t>(record.entry.cleared));
+    digests[fingerprint % digests.size()] ^=
+      XXH64(ids.data(),
+            sizeof(ids),
+            fingerprint + static_cast<uint64_t>(record.entry.cleared));
   }
-  return digest | 1;
+  return digests;
+}
+
+uint64_t
+QuarantineList::Digest(TimePoint aNow) const
+{
+  const ListDigests digests = Digests(aNow);
+  return std::accumulate(
+           digests.begin(), digests.end(), uint64_t{ 0 }, std::bit_xor<>()) |
+         1;
 }
 
 void
@@ -260,11 +304,11 @@
   const auto found = m_records.find(aFingerprint);
   if (found != m_records.end()) {
     if (found->second.expiresAt <= aNow) {
-      found->second = Record{ { aFingerprint }, aNow };
+      found->second = Record{ { aFingerprint }, aNow, aNow };
     }
     return found->second;
   }
-  return m_records.emplace(aFingerprint, Record{ { aFingerprint }, aNow })
+  return m_records.emplace(aFingerprint, Record{ { aFingerprint }, aNow, aNow })
     .first->second;
 }
 
@@ -308,6 +352,7 @@
 {
   Record& record = FindOrInsert(aFingerprint, aNow);
   InsertLoss(record.entry, NextCrashId(aRng));
+  record.changedAt = aNow;
   record.expiresAt = aNow + m_limits.lifetime;
   SuspectEntry entry = record.entry;
   entry.remaining = m_limits.lifetime;
--- a/wagtailbend/quarantine/quarantine_list.h
+++ b/wagtailbend/quarantine/quarantine_list.h
@@ -53,6 +53,9 @@
   bool operator==(const SuspectEntry&) const = default;
 };
 
+/// Digests of the entries of a list, by fingerprint modulo their number.
+using ListDigests = std::array<uint64_t, 64>;
+
 enum class QuarantineAction : uint8_t
 {
   /// Not suspected.
@@ -157,8 +160,16 @@
   void Merge(std::span<const SuspectEntry> aEntries, TimePoint aNow);
   /// Returns up to aMax entries to gossip, quarantined ones first.
   std::vector<SuspectEntry> Export(size_t aMax, TimePoint aNow) const;
-  /// Returns a number that is equal at two daemons that know the same entries,
-  /// whatever their order; never 0.
+  /// Returns the entries that were added or changed after aSince.
+  std::vector<SuspectEntry> ExportSince(TimePoint aSince, TimePoint aNow) const;
+  /// Returns the entries whose digests differ from aDigests. A list with these
+  /// digests that merges them lacks nothing that this one knows.
+  std::vector<SuspectEntry> ExportDiffering(const ListDigests& aDigests,
+                                            TimePoint aNow) const;
+  /// Returns digests that are equal at two daemons that know the same entries,
+  /// whatever their order.
+  ListDigests Digests(TimePoint aNow) const;
+  /// Returns a summary of Digests; never 0.
   uint64_t Digest(TimePoint aNow) const;
   /// Removes expired entries.
   void Expire(TimePoint aNow);
@@ -170,8 +181,14 @@
   {
     SuspectEntry entry;
     TimePoint expiresAt;
+    TimePoint changedAt;
   };
 
+  /// Returns the entries that aPredicate(record) selects and that have not
+  /// expired.
+  template<typename Predicate>
+  std::vector<SuspectEntry> Select(TimePoint aNow, Predicate aPredicate) const;
+
   const Record* Find(uint64_t aFingerprint, TimePoint aNow) const;
   Record& FindOrInsert(uint64_t aFingerprint, TimePoint aNow);
   /// Returns an id that is larger than those of all known crashes.
