Close the slowest readers when responses use up the memory

Cause: bytes were limited while a request or a response was being received. Once complete, a response was handed to the connection of the client, which held it without a limit until the client had read it; a response of a peer's target passed no limit at all at the daemon of the client. The class of fault is a buffer whose size the other side decides.

Responses that clients have not read completely now share an eighth of the memory limit. Above it, connections are closed, first those with the most bytes times seconds, so that a long response which nobody reads goes before the short one of an ordinary client. The latest response is not counted: a single one may have any length. No status is sent in place of a response, as the request has run.

--- a/wagtailbend/http1/internal/server_connection.h
+++ b/wagtailbend/http1/internal/server_connection.h
@@ -28,6 +28,12 @@
   asio::ip::address RemoteAddress() const { return m_remote; }
   /// Closes the connection unless it is receiving or processing a request.
   void CloseIfIdle();
+  void Close();
+  /// Returns the size of the response that the client has not read completely;
+  /// 0 if there is none.
+  size_t UnsentBytes() const { return m_unsentBytes; }
+  /// Returns the product of that size and the time since it was sent.
+  double UnsentByteSeconds(TimePoint aNow) const;
 
 private:
   enum class Phase : uint8_t
@@ -50,11 +56,11 @@
   void OnWritten();
   void BeginLingeringClose();
   void OnDisconnect();
-  void Close();
   void EnterPhase(Phase aPhase);
   void StartTimer(Duration aTimeout);
   void OnTimeout();
   void SetBufferedBytes(size_t aBytes);
+  void SetUnsentBytes(size_t aBytes);
 
   Server& m_server;
   asio::ip::tcp::socket m_socket;
@@ -71,6 +77,8 @@
   bool m_waitingReadable = false;
   bool m_continueSent = false;
   size_t m_bufferedBytes = 0;
+  size_t m_unsentBytes = 0;
+  TimePoint m_sentAt{};
   std::function<void()> m_onDisconnect;
 };
 
--- a/wagtailbend/http1/server.cc
+++ b/wagtailbend/http1/server.cc
@@ -112,6 +112,27 @@
     });
 }
 
+void
+Server::LimitUnsentBytes(const ServerConnection& aLatest)
+{
+  const TimePoint now = MonotonicNow();
+  while (m_counts.unsentBytes - aLatest.UnsentBytes() >
+         m_limits.maxUnsentBytes) {
+    std::shared_ptr<ServerConnection> slowest;
+    for (const auto& connection : m_connections) {
+      if (connection.get() == &aLatest || connection->UnsentBytes() == 0) {
+        continue;
+      }
+      if (!slowest || connection->UnsentByteSeconds(now) >
+                        slowest->UnsentByteSeconds(now)) {
+        slowest = connection;
+      }
+    }
+    ++m_counts.closedSlowReaders;
+    slowest->Close();
+  }
+}
+
 void
 Server::CloseIdleConnections()
 {
--- a/wagtailbend/http1/server.h
+++ b/wagtailbend/http1/server.h
@@ -46,6 +46,11 @@
   /// Limit on the bytes of all requests that are being received or processed.
   /// Above it, requests with an incomplete body are rejected with status 503.
   size_t maxBufferedBytes = 64UL * 1024 * 1024;
+  /// Limit on the bytes of all responses that clients have not read completely.
+  /// Above it, connections are closed, first those whose responses have taken
+  /// up the most memory for the longest time. The latest response is not
+  /// counted, so that a single one may have any length.
+  size_t maxUnsentBytes = 64UL * 1024 * 1024;
 
   bool operator==(const ServerLimits&) const = default;
 };
@@ -89,6 +94,10 @@
   uint64_t malformed = 0;
   uint64_t timedOut = 0;
   size_t bufferedBytes = 0;
+  /// Responses that clients have not read completely.
+  size_t unsentBytes = 0;
+  /// Connections closed because of ServerLimits::maxUnsentBytes.
+  uint64_t closedSlowReaders = 0;
   /// Requests that were received and have no response yet.
   size_t pendingRequests = 0;
 
@@ -133,6 +142,9 @@
   };
 
   void Accept(const std::shared_ptr<Listener>& aListener);
+  /// Closes the connections of slow readers until the responses other than that
+  /// of aLatest are within the limit.
+  void LimitUnsentBytes(const ServerConnection& aLatest);
 
   asio::io_context& m_io;
   RequestHandler& m_handler;
--- a/wagtailbend/http1/server_connection.cc
+++ b/wagtailbend/http1/server_connection.cc
@@ -186,7 +186,13 @@
 {
   m_closeAfterWrite = aClose;
   EnterPhase(Phase::kWriting);
-  m_writer.Write(SerializeResponse(aResponse, aClose), shared_from_this());
+  std::string bytes = SerializeResponse(aResponse, aClose);
+  m_sentAt = MonotonicNow();
+  SetUnsentBytes(bytes.size());
+  m_writer.Write(std::move(bytes), shared_from_this());
+  if (m_unsentBytes > 0) {
+    m_server.LimitUnsentBytes(*this);
+  }
 }
 
 void
@@ -196,6 +202,7 @@
     return;
   }
   SetBufferedBytes(0);
+  SetUnsentBytes(0);
   if (m_closeAfterWrite) {
     BeginLingeringClose();
     return;
@@ -247,6 +254,7 @@
 {
   m_phase = Phase::kClosed;
   SetBufferedBytes(0);
+  SetUnsentBytes(0);
   m_timer.cancel();
   std::error_code ignored;
   m_socket.close(ignored);
@@ -343,4 +351,19 @@
   m_bufferedBytes = aBytes;
 }
 
+void
+ServerConnection::SetUnsentBytes(size_t aBytes)
+{
+  m_server.m_counts.unsentBytes += aBytes;
+  m_server.m_counts.unsentBytes -= m_unsentBytes;
+  m_unsentBytes = aBytes;
+}
+
+double
+ServerConnection::UnsentByteSeconds(TimePoint aNow) const
+{
+  const std::chrono::duration<double> elapsed = aNow - m_sentAt;
+  return static_cast<double>(m_unsentBytes) * elapsed.count();
+}
+
 } // namespace wagtailbend::http1
--- a/wagtailbend/http1/server_test.cc
+++ b/wagtailbend/http1/server_test.cc
@@ -9,6 +9,10 @@
 namespace wagtailbend::http1 {
 namespace {
 
+// Longer than what the kernel buffers.
+constexpr size_t kLongResponseBytes = 16UL * 1024 * 1024;
+constexpr const char* kLongPath = "/long";
+
 /// Records requests; responds at once or when the test calls Respond.
 class RecordingHandler : public RequestHandler
 {
@@ -28,6 +32,9 @@
     ResponseMessage response;
     response.status = 200;
     response.body = m_requests[aIndex].target;
+    if (response.body == kLongPath) {
+      response.body.resize(kLongResponseBytes);
+    }
     m_responders[aIndex].Respond(response);
   }
 
@@ -47,6 +54,7 @@
     limits.headerTimeout = std::chrono::milliseconds(100);
     limits.idleTimeout = std::chrono::milliseconds(200);
     limits.maxBufferedBytes = 1000;
+    limits.maxUnsentBytes = 5 * kLongResponseBytes / 2;
     m_server.emplace(m_io, m_handler, limits);
     asio::ip::tcp::acceptor probe(
       m_io, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0));
@@ -287,6 +295,48 @@
   EXPECT_NE(response.find("Connection: close"), std::string::npos);
 }
 
+// Guards against responses that use up the memory while clients read slowly,
+// and against closing the connection of a client that got its response lately.
+TEST_F(ServerTest, ClosesTheSlowestReaderAboveTheLimit)
+{
+  std::vector<asio::ip::tcp::socket> readers;
+  for (int i = 0; i < 4; ++i) {
+    EXPECT_EQ(m_server->Counts().closedSlowReaders, 0U) << i;
+    readers.push_back(Connect());
+    asio::write(readers.back(), asio::buffer(Get(kLongPath)));
+    Run(20);
+  }
+  EXPECT_EQ(m_server->Counts().closedSlowReaders, 1U);
+  EXPECT_EQ(m_server->ConnectionCount(), 3U);
+  std::string bytes(kLongResponseBytes, '\0');
+  std::error_code code;
+  asio::read(readers.front(), asio::buffer(bytes), code);
+  EXPECT_TRUE(code);
+}
+
+// Guards against a limit that refuses a response for its length alone, and
+// against bytes that are counted after they were read.
+TEST_F(ServerTest, ALongResponseAboveTheLimitIsServed)
+{
+  ServerLimits limits = m_server->Limits();
+  limits.maxUnsentBytes = 1;
+  m_server->SetLimits(limits);
+  auto socket = Connect();
+  asio::write(socket, asio::buffer(Get(kLongPath)));
+  size_t received = 0;
+  for (int i = 0; i < 1000 && received < kLongResponseBytes; ++i) {
+    Run(1);
+    socket.non_blocking(true);
+    std::string bytes(kLongResponseBytes, '\0');
+    std::error_code ignored;
+    received += socket.read_some(asio::buffer(bytes), ignored);
+  }
+  EXPECT_GE(received, kLongResponseBytes);
+  Run(20);
+  EXPECT_EQ(m_server->Counts().unsentBytes, 0U);
+  EXPECT_EQ(m_server->Counts().closedSlowReaders, 0U);
+}
+
 // Guards against a client that waits forever for `100 Continue` before it sends
 // its body.
 TEST_F(ServerTest, SendsContinueForExpectedBody)
--- a/wagtailbend/node/traffic_metrics.cc
+++ b/wagtailbend/node/traffic_metrics.cc
@@ -44,6 +44,12 @@
       &m_invalidResponses },
     { "wb_target_connects", "Connections opened to the target.", &m_connects },
     { "wb_open_requests", "Requests not answered yet.", &m_openRequests },
+    { "wb_client_unsent_bytes",
+      "Responses that clients have not read completely.",
+      &m_unsentBytes },
+    { "wb_client_slow_readers_closed",
+      "Connections closed because slow readers took up too much memory.",
+      &m_closedSlowReaders },
     { "wb_links_up", "Links to other daemons.", &m_linksUp },
     { "wb_members", "Other daemons known.", &m_members },
   };
@@ -73,6 +79,13 @@
   }
 }
 
+void
+TrafficMetrics::SampleClients(const http1::ServerCounts& aCounts)
+{
+  m_unsentBytes = static_cast<double>(aCounts.unsentBytes);
+  m_closedSlowReaders = static_cast<double>(aCounts.closedSlowReaders);
+}
+
 void
 TrafficMetrics::SampleTraffic(const mesh::FrameTraffic& aTraffic)
 {
--- a/wagtailbend/node/traffic_metrics.h
+++ b/wagtailbend/node/traffic_metrics.h
@@ -8,6 +8,7 @@
 #include "wagtailbend/exchange/attempt.h"
 #include "wagtailbend/exchange/request_dispatcher.h"
 #include "wagtailbend/exchange/target_gateway.h"
+#include "wagtailbend/http1/server.h"
 #include "wagtailbend/mesh/frame_traffic.h"
 #include "wagtailbend/observability/metrics.h"
 
@@ -29,6 +30,8 @@
               size_t aMembers);
   /// Updates the gauges of the frames sent to peers.
   void SampleTraffic(const mesh::FrameTraffic& aTraffic);
+  /// Updates the gauges of the connections of clients.
+  void SampleClients(const http1::ServerCounts& aCounts);
 
 private:
   using FrameGauges =
@@ -54,6 +57,8 @@
   std::atomic<double> m_lost{ 0 };
   std::atomic<double> m_invalidResponses{ 0 };
   std::atomic<double> m_connects{ 0 };
+  std::atomic<double> m_unsentBytes{ 0 };
+  std::atomic<double> m_closedSlowReaders{ 0 };
   FrameGauges m_sameRegionBytes{};
   FrameGauges m_otherRegionBytes{};
 };
--- a/wagtailbend/node/traffic_node.cc
+++ b/wagtailbend/node/traffic_node.cc
@@ -24,6 +24,8 @@
 // The bytes of client requests may take up the memory divided by this. Each is
 // held up to four times (message, frame, buffers of two sockets).
 constexpr uint64_t kRequestMemoryDivisor = 16;
+// Responses that clients read slowly may take up the memory divided by this.
+constexpr uint64_t kUnsentMemoryDivisor = 8;
 // File descriptors reserved for links, the target, the store and files.
 constexpr uint32_t kReservedDescriptors = 1200;
 constexpr http1::ParseLimits kResponseLimits = { 64UL * 1024,
@@ -120,6 +122,7 @@
 {
   http1::ServerLimits limits;
   limits.maxBufferedBytes = aSettings.memoryBytes / kRequestMemoryDivisor;
+  limits.maxUnsentBytes = aSettings.memoryBytes / kUnsentMemoryDivisor;
   limits.maxConnections = aSettings.fileDescriptors > 2 * kReservedDescriptors
                             ? aSettings.fileDescriptors - kReservedDescriptors
                             : aSettings.fileDescriptors / 2;
@@ -243,6 +246,7 @@
                      LinksUp(),
                      m_peers.size());
     m_metrics.SampleTraffic(m_traffic);
+    m_metrics.SampleClients(m_server.Counts());
     m_log.LogPeerTraffic(m_traffic, now);
   }
   m_timer.expires_after(kTickInterval);
