--- a/testing/process.cc
+++ b/testing/process.cc
@@ -3,6 +3,7 @@
 #include <atomic>
 #include <csignal>
 #include <cstdio>
+#include <filesystem>
 #include <fstream>
 #include <sstream>
 #include <stdexcept>
@@ -202,4 +203,26 @@
            resident * static_cast<double>(sysconf(_SC_PAGESIZE)) / (1 << 20) };
 }
 
+size_t
+PeakMemoryKb(pid_t aId)
+{
+  std::ifstream status("/proc/" + std::to_string(aId) + "/status");
+  std::string word;
+  while (status >> word && word != "VmHWM:") {
+  }
+  size_t kilobytes = 0;
+  status >> kilobytes;
+  return kilobytes;
+}
+
+size_t
+OpenDescriptors(pid_t aId)
+{
+  std::error_code code;
+  const std::filesystem::directory_iterator files(
+    "/proc/" + std::to_string(aId) + "/fd", code);
+  return code ? 0
+              : static_cast<size_t>(std::distance(begin(files), end(files)));
+}
+
 } // namespace wagtailbend::testing
--- a/testing/process.h
+++ b/testing/process.h
@@ -69,4 +69,13 @@
 ProcessUsage
 UsageOf(pid_t aId);
 
+/// Returns the largest resident size that a process had, in KiB; 0 if it has
+/// ended.
+size_t
+PeakMemoryKb(pid_t aId);
+
+/// Returns the number of open descriptors of a process; 0 if it has ended.
+size_t
+OpenDescriptors(pid_t aId);
+
 } // namespace wagtailbend::testing
