Check the limit on waiting requests for each request

Cause: the limit was checked only while a body was incomplete. A request that arrives in one read, up to 64 KB, was never checked, and connections kept the memory of what they had received once.

Now each request of more than 4 KB is checked, its header section included; shorter ones are accepted above the limit, so that a crowd with long requests does not shut out ordinary clients. 503 is true: a rejected request was not passed on. Input buffers are freed when they are empty.

OnlyShortRequestsAreAcceptedAboveTheLimit is new and was not run on the code before.

--- a/wagtailbend/http1/internal/server_connection.h
+++ b/wagtailbend/http1/internal/server_connection.h
@@ -60,6 +60,9 @@
   void StartTimer(Duration aTimeout);
   void OnTimeout();
   void SetBufferedBytes(size_t aBytes);
+  /// Returns true if this request must not be held because of the limit on the
+  /// bytes of all requests.
+  bool ExceedsBufferLimit() const;
   void SetUnsentBytes(size_t aBytes);
 
   Server& m_server;
--- a/wagtailbend/http1/server.h
+++ b/wagtailbend/http1/server.h
@@ -44,8 +44,10 @@
   Duration writeTimeout = std::chrono::seconds(10);
   size_t maxConnections = 3000;
   /// Limit on the bytes of all requests that are being received or processed.
-  /// Above it, requests with an incomplete body are rejected with status 503.
+  /// Above it, requests are rejected with status 503 unless they are short.
   size_t maxBufferedBytes = 64UL * 1024 * 1024;
+  /// Size up to which a request is short.
+  size_t shortRequestBytes = 4UL * 1024;
   /// Limit on the bytes of all responses that clients have not read completely.
   /// Above it, connections are closed, first those whose responses have taken
   /// up the most memory for the longest time. The latest response is not
--- a/wagtailbend/http1/server_connection.cc
+++ b/wagtailbend/http1/server_connection.cc
@@ -111,7 +111,18 @@
   }
   const ParseProgress progress = m_parser->Feed(m_input);
   m_input.erase(0, progress.consumed);
+  if (m_input.empty()) {
+    // Releases the memory; an idle connection would keep it.
+    std::string().swap(m_input);
+  }
   SetBufferedBytes(m_bufferedBytes + progress.consumed);
+  const bool isWellFormed = progress.state == ParseState::kHeader ||
+                            progress.state == ParseState::kBody ||
+                            progress.state == ParseState::kComplete;
+  if (isWellFormed && ExceedsBufferLimit()) {
+    RejectRequest(503);
+    return;
+  }
   switch (progress.state) {
     case ParseState::kHeader:
       return;
@@ -119,11 +130,6 @@
       if (m_phase == Phase::kHeader) {
         EnterPhase(Phase::kBody);
       }
-      if (m_server.m_counts.bufferedBytes >
-          m_server.m_limits.maxBufferedBytes) {
-        RejectRequest(503);
-        return;
-      }
       if (m_parser->ExpectsContinue() && !std::exchange(m_continueSent, true)) {
         m_writer.Write("HTTP/1.1 100 Continue\r\n\r\n", shared_from_this());
       }
@@ -226,7 +232,7 @@
 ServerConnection::BeginLingeringClose()
 {
   EnterPhase(Phase::kLingering);
-  m_input.clear();
+  std::string().swap(m_input);
   std::error_code ignored;
   m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
   WaitReadable();
@@ -351,6 +357,13 @@
   m_bufferedBytes = aBytes;
 }
 
+bool
+ServerConnection::ExceedsBufferLimit() const
+{
+  return m_server.m_counts.bufferedBytes > m_server.m_limits.maxBufferedBytes &&
+         m_bufferedBytes > m_server.m_limits.shortRequestBytes;
+}
+
 void
 ServerConnection::SetUnsentBytes(size_t aBytes)
 {
--- a/wagtailbend/http1/server_test.cc
+++ b/wagtailbend/http1/server_test.cc
@@ -54,6 +54,7 @@
     limits.headerTimeout = std::chrono::milliseconds(100);
     limits.idleTimeout = std::chrono::milliseconds(200);
     limits.maxBufferedBytes = 1000;
+    limits.shortRequestBytes = 0;
     limits.maxUnsentBytes = 5 * kLongResponseBytes / 2;
     m_server.emplace(m_io, m_handler, limits);
     asio::ip::tcp::acceptor probe(
@@ -337,6 +338,29 @@
   EXPECT_EQ(m_server->Counts().closedSlowReaders, 0U);
 }
 
+// Guards against a limit that misses requests which arrive in one read, and
+// against rejecting the short requests of ordinary clients above it.
+TEST_F(ServerTest, OnlyShortRequestsAreAcceptedAboveTheLimit)
+{
+  m_handler.m_respondAtOnce = false;
+  const std::string padding(200, 'x');
+  std::vector<asio::ip::tcp::socket> waiting;
+  while (m_server->Counts().bufferedBytes <=
+         m_server->Limits().maxBufferedBytes - padding.size()) {
+    waiting.push_back(Connect());
+    EXPECT_EQ(Exchange(waiting.back(), Get("/" + padding)), "");
+  }
+  ServerLimits limits = m_server->Limits();
+  limits.shortRequestBytes = padding.size();
+  m_server->SetLimits(limits);
+  auto longRequest = Connect();
+  EXPECT_NE(Exchange(longRequest, Get("/" + padding)).find("503"),
+            std::string::npos);
+  auto shortRequest = Connect();
+  EXPECT_EQ(Exchange(shortRequest, Get("/")), "");
+  EXPECT_EQ(m_handler.m_requests.size(), waiting.size() + 1);
+}
+
 // Guards against a client that waits forever for `100 Continue` before it sends
 // its body.
 TEST_F(ServerTest, SendsContinueForExpectedBody)
