Count what clients send behind a request that is processed

Cause: up to 144 KB a connection were read ahead and not counted, 300 MB for the connections that a daemon accepts.

They now count toward the limit on requests. Above it, a connection with more than 4 KB is closed, as if the client had left; what its request did or did not do is not said.

--- a/wagtailbend/http1/internal/server_connection.h
+++ b/wagtailbend/http1/internal/server_connection.h
@@ -49,6 +49,7 @@
 
   void WaitReadable();
   void OnReadable();
+  void ProcessInput();
   void ParseInput();
   void DispatchRequest();
   void RejectRequest(int aStatus);
@@ -60,6 +61,8 @@
   void StartTimer(Duration aTimeout);
   void OnTimeout();
   void SetBufferedBytes(size_t aBytes);
+  /// Counts input that waits behind the request being processed.
+  void SetPipelinedBytes(size_t aBytes);
   /// Returns true if this request must not be held because of the limit on the
   /// bytes of all requests.
   bool ExceedsBufferLimit() const;
@@ -80,6 +83,7 @@
   bool m_waitingReadable = false;
   bool m_continueSent = false;
   size_t m_bufferedBytes = 0;
+  size_t m_pipelinedBytes = 0;
   size_t m_unsentBytes = 0;
   TimePoint m_sentAt{};
   std::function<void()> m_onDisconnect;
--- a/wagtailbend/http1/server.h
+++ b/wagtailbend/http1/server.h
@@ -43,8 +43,10 @@
   /// How long sending one response may take if the client does not read it.
   Duration writeTimeout = std::chrono::seconds(10);
   size_t maxConnections = 3000;
-  /// Limit on the bytes of all requests that are being received or processed.
-  /// Above it, requests are rejected with status 503 unless they are short.
+  /// Limit on the bytes of all requests that are being received or processed,
+  /// and of those that wait behind them. Above it, requests are rejected with
+  /// status 503 unless they are short, and connections with more requests
+  /// behind the current one are closed.
   size_t maxBufferedBytes = 64UL * 1024 * 1024;
   /// Size up to which a request is short.
   size_t shortRequestBytes = 4UL * 1024;
--- a/wagtailbend/http1/server_connection.cc
+++ b/wagtailbend/http1/server_connection.cc
@@ -91,10 +91,24 @@
     return;
   }
   m_input.append(received.bytes);
+  ProcessInput();
+}
+
+void
+ServerConnection::ProcessInput()
+{
   if (m_phase == Phase::kIdle || m_phase == Phase::kHeader ||
       m_phase == Phase::kBody) {
     ParseInput();
   }
+  if (m_phase == Phase::kClosed) {
+    return;
+  }
+  SetPipelinedBytes(m_input.size());
+  if (m_pipelinedBytes > 0 && ExceedsBufferLimit()) {
+    OnDisconnect();
+    return;
+  }
   WaitReadable();
 }
 
@@ -109,6 +123,7 @@
     m_continueSent = false;
     EnterPhase(Phase::kHeader);
   }
+  SetPipelinedBytes(0);
   const ParseProgress progress = m_parser->Feed(m_input);
   m_input.erase(0, progress.consumed);
   if (m_input.empty()) {
@@ -220,12 +235,8 @@
   }
   // Parse pipelined bytes from the event loop, so that a long pipeline does not
   // cause deep recursion.
-  asio::post(m_socket.get_executor(), [self = shared_from_this()] {
-    if (self->m_phase == Phase::kIdle) {
-      self->ParseInput();
-    }
-    self->WaitReadable();
-  });
+  asio::post(m_socket.get_executor(),
+             [self = shared_from_this()] { self->ProcessInput(); });
 }
 
 void
@@ -233,6 +244,7 @@
 {
   EnterPhase(Phase::kLingering);
   std::string().swap(m_input);
+  SetPipelinedBytes(0);
   std::error_code ignored;
   m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
   WaitReadable();
@@ -260,6 +272,7 @@
 {
   m_phase = Phase::kClosed;
   SetBufferedBytes(0);
+  SetPipelinedBytes(0);
   SetUnsentBytes(0);
   m_timer.cancel();
   std::error_code ignored;
@@ -361,7 +374,16 @@
 ServerConnection::ExceedsBufferLimit() const
 {
   return m_server.m_counts.bufferedBytes > m_server.m_limits.maxBufferedBytes &&
-         m_bufferedBytes > m_server.m_limits.shortRequestBytes;
+         m_bufferedBytes + m_pipelinedBytes >
+           m_server.m_limits.shortRequestBytes;
+}
+
+void
+ServerConnection::SetPipelinedBytes(size_t aBytes)
+{
+  m_server.m_counts.bufferedBytes += aBytes;
+  m_server.m_counts.bufferedBytes -= m_pipelinedBytes;
+  m_pipelinedBytes = aBytes;
 }
 
 void
--- a/wagtailbend/http1/server_test.cc
+++ b/wagtailbend/http1/server_test.cc
@@ -361,6 +361,24 @@
   EXPECT_EQ(m_handler.m_requests.size(), waiting.size() + 1);
 }
 
+// Guards against pipelined requests that use up the memory, and against bytes
+// that are counted after the connection was closed.
+TEST_F(ServerTest, PipelinedRequestsCountTowardTheLimit)
+{
+  m_handler.m_respondAtOnce = false;
+  std::string requests;
+  while (requests.size() <= m_server->Limits().maxBufferedBytes) {
+    requests += Get("/1");
+  }
+  auto within = Connect();
+  Exchange(within, Get("/1") + Get("/2"));
+  EXPECT_EQ(m_server->Counts().bufferedBytes, (Get("/1") + Get("/2")).size());
+  auto above = Connect();
+  EXPECT_EQ(Exchange(above, requests), "(closed)");
+  EXPECT_EQ(m_handler.m_disconnects, 1);
+  EXPECT_EQ(m_server->Counts().bufferedBytes, (Get("/1") + Get("/2")).size());
+}
+
 // Guards against a client that waits forever for `100 Continue` before it sends
 // its body.
 TEST_F(ServerTest, SendsContinueForExpectedBody)
