Limit the bytes of results that are kept for peers

Cause: each result that must not be lost with a connection was kept for 2 s after it was sent, whatever its size.

The kept results now share a sixteenth of the memory limit, the oldest going first. A peer that asks for a dropped one is told that its outcome is unknown, as for any result that was lost with its connection.

--- a/wagtailbend/mesh/peer_server.cc
+++ b/wagtailbend/mesh/peer_server.cc
@@ -33,12 +33,14 @@
 PeerServer::PeerServer(asio::io_context& aIo,
                        NodeContext& aContext,
                        const PeerLinkLimits& aLinkLimits,
-                       exchange::TargetGateway& aGateway)
+                       exchange::TargetGateway& aGateway,
+                       size_t aMaxStoredBytes)
   : m_context(aContext)
   , m_linkLimits(aLinkLimits)
   , m_gateway(aGateway)
   , m_acceptor(aIo)
   , m_acceptRetry(aIo)
+  , m_maxStoredBytes(aMaxStoredBytes)
 {
 }
 
@@ -271,10 +273,38 @@
     aSession->stream->Send(frame);
   }
   if (!received.idempotent || aResult.outcome == exchange::Outcome::kNotRun) {
-    received.storedResult = std::move(message);
+    StoreResult(aSession, aId, std::move(message));
   }
 }
 
+void
+PeerServer::StoreResult(const SessionPtr& aSession,
+                        uint64_t aId,
+                        wire::Result aResult)
+{
+  const size_t bytes = aResult.ByteSizeLong();
+  aSession->attempts.at(aId).storedResult = std::move(aResult);
+  m_storedResults.push_back({ aSession, aId, bytes, BootNow() });
+  m_storedBytes += bytes;
+  while (m_storedBytes > m_maxStoredBytes) {
+    DropOldestStoredResult();
+  }
+}
+
+void
+PeerServer::DropOldestStoredResult()
+{
+  const StoredResult& oldest = m_storedResults.front();
+  if (const SessionPtr session = oldest.session.lock()) {
+    const auto found = session->attempts.find(oldest.attemptId);
+    if (found != session->attempts.end()) {
+      found->second.storedResult.reset();
+    }
+  }
+  m_storedBytes -= oldest.bytes;
+  m_storedResults.pop_front();
+}
+
 void
 PeerServer::OnReattach(const SessionPtr& aSession,
                        const wire::Reattach& aReattach)
@@ -381,6 +411,10 @@
       m_pendingHandshakes.erase(current);
     }
   }
+  while (!m_storedResults.empty() &&
+         aNow - m_storedResults.front().storedAt > kResultRetention) {
+    DropOldestStoredResult();
+  }
   for (auto next = m_sessions.begin(); next != m_sessions.end();) {
     const auto current = next++;
     const SessionPtr session = current->second;
--- a/wagtailbend/mesh/peer_server.h
+++ b/wagtailbend/mesh/peer_server.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -31,10 +32,16 @@
 class PeerServer
 {
 public:
+  /// Limit on the bytes of results that are kept to be sent again.
+  static constexpr size_t kDefaultMaxStoredBytes = 16UL * 1024 * 1024;
+
+  /// aMaxStoredBytes: above it, the oldest kept results are dropped. A peer
+  /// that asks for one of them is told that the outcome is unknown.
   PeerServer(asio::io_context& aIo,
              NodeContext& aContext,
              const PeerLinkLimits& aLinkLimits,
-             exchange::TargetGateway& aGateway);
+             exchange::TargetGateway& aGateway,
+             size_t aMaxStoredBytes = kDefaultMaxStoredBytes);
 
   /// Starts to accept connections. Error kind: kInvalidRequest if the address
   /// cannot be bound.
@@ -94,6 +101,14 @@
     void Disconnect(TimePoint aNow);
   };
   using SessionPtr = std::shared_ptr<Session>;
+  /// Refers to ReceivedAttempt::storedResult.
+  struct StoredResult
+  {
+    std::weak_ptr<Session> session;
+    uint64_t attemptId = 0;
+    size_t bytes = 0;
+    TimePoint storedAt;
+  };
 
   void Accept();
   void OnAccepted(asio::ip::tcp::socket aSocket);
@@ -104,6 +119,10 @@
   void OnAttemptDone(const SessionPtr& aSession,
                      uint64_t aId,
                      const exchange::AttemptResult& aResult);
+  void StoreResult(const SessionPtr& aSession,
+                   uint64_t aId,
+                   wire::Result aResult);
+  void DropOldestStoredResult();
   void OnReattach(const SessionPtr& aSession, const wire::Reattach& aReattach);
   void OnPing(const SessionPtr& aSession, const wire::Ping& aPing);
   void UpdatePeerConfigVersion(Session& aSession, uint64_t aVersion);
@@ -124,6 +143,10 @@
   std::map<std::shared_ptr<FrameStream>, TimePoint> m_pendingHandshakes;
   /// By incarnation of the peer that opened the connection.
   std::unordered_map<uint64_t, SessionPtr> m_sessions;
+  const size_t m_maxStoredBytes;
+  /// In the order of storedAt. Attempts may be forgotten before their entries.
+  std::deque<StoredResult> m_storedResults;
+  size_t m_storedBytes = 0;
   TimePoint m_lastTickAt{};
 };
 
--- a/wagtailbend/node/traffic_node.cc
+++ b/wagtailbend/node/traffic_node.cc
@@ -26,6 +26,8 @@
 constexpr uint64_t kRequestMemoryDivisor = 16;
 // Responses that clients read slowly may take up the memory divided by this.
 constexpr uint64_t kUnsentMemoryDivisor = 8;
+// Results kept for peers may take up the memory divided by this.
+constexpr uint64_t kStoredResultMemoryDivisor = 16;
 // File descriptors reserved for links, the target, the store and files.
 constexpr uint32_t kReservedDescriptors = 1200;
 constexpr http1::ParseLimits kResponseLimits = { 64UL * 1024,
@@ -194,7 +196,11 @@
                  m_gateway,
                  *this)
   , m_server(aIo, m_dispatcher, MakeServerLimits(aSettings))
-  , m_peerServer(aIo, *this, m_linkBudget, m_gateway)
+  , m_peerServer(aIo,
+                 *this,
+                 m_linkBudget,
+                 m_gateway,
+                 aSettings.memoryBytes / kStoredResultMemoryDivisor)
   , m_timer(aIo)
   , m_rng(MakeSeededRng())
   , m_targetRetryBudget(
