--- a/wagtailbend/http1/server_connection.cc
+++ b/wagtailbend/http1/server_connection.cc
@@ -21,6 +21,14 @@
 // Frees the connections of clients that vanished without closing them.
 constexpr Duration kClientSilenceTimeout = std::chrono::seconds(12);
 
+// Replaces the part of a connection in a total of all connections.
+void
+ReplacePart(size_t& aTotal, size_t& aPart, size_t aBytes)
+{
+  aTotal += aBytes;
+  aTotal -= std::exchange(aPart, aBytes);
+}
+
 } // namespace
 
 ServerConnection::ServerConnection(Server& aServer,
@@ -365,9 +373,7 @@
 void
 ServerConnection::SetBufferedBytes(size_t aBytes)
 {
-  m_server.m_counts.bufferedBytes += aBytes;
-  m_server.m_counts.bufferedBytes -= m_bufferedBytes;
-  m_bufferedBytes = aBytes;
+  ReplacePart(m_server.m_counts.bufferedBytes, m_bufferedBytes, aBytes);
 }
 
 bool
@@ -381,17 +387,13 @@
 void
 ServerConnection::SetPipelinedBytes(size_t aBytes)
 {
-  m_server.m_counts.bufferedBytes += aBytes;
-  m_server.m_counts.bufferedBytes -= m_pipelinedBytes;
-  m_pipelinedBytes = aBytes;
+  ReplacePart(m_server.m_counts.bufferedBytes, m_pipelinedBytes, aBytes);
 }
 
 void
 ServerConnection::SetUnsentBytes(size_t aBytes)
 {
-  m_server.m_counts.unsentBytes += aBytes;
-  m_server.m_counts.unsentBytes -= m_unsentBytes;
-  m_unsentBytes = aBytes;
+  ReplacePart(m_server.m_counts.unsentBytes, m_unsentBytes, aBytes);
 }
 
 double
--- a/wagtailbend/quarantine/quarantine_list.cc
+++ b/wagtailbend/quarantine/quarantine_list.cc
@@ -21,7 +21,11 @@
   uint64_t latestCrashId = 0;
   uint64_t fingerprint = 0;
 
-  auto operator<=>(const RankedEntry&) const = default;
+  bool operator<(const RankedEntry& aOther) const
+  {
+    return std::tie(latestCrashId, fingerprint) <
+           std::tie(aOther.latestCrashId, aOther.fingerprint);
+  }
 };
 
 // Keeps the largest loss ids, so that the result of a merge does not depend on
@@ -335,7 +339,7 @@
     }
     const auto firstKept =
       aEntries.begin() + static_cast<ptrdiff_t>(aEntries.size() - aLimit);
-    std::ranges::nth_element(aEntries, firstKept);
+    std::nth_element(aEntries.begin(), firstKept, aEntries.end());
     for (auto evicted = aEntries.begin(); evicted != firstKept; ++evicted) {
       m_records.erase(evicted->fingerprint);
     }
--- a/wagtailbend/quarantine/quarantine_list_test.cc
+++ b/wagtailbend/quarantine/quarantine_list_test.cc
@@ -206,6 +206,7 @@
   TimePoint now = kNow;
   for (size_t round = 0; round < kMaxRounds; ++round) {
     std::vector<std::vector<SuspectEntry>> exported;
+    exported.reserve(kLists);
     for (const QuarantineList& list : lists) {
       exported.push_back(list.Export(limits.maxEntries, now));
     }
