--- a/wagtailbend/http1/server.h
+++ b/wagtailbend/http1/server.h
@@ -53,7 +53,7 @@
   /// Limit on the bytes of all responses that clients have not read completely.
   /// Above it, connections are closed, first those whose responses have taken
   /// up the most memory for the longest time. The latest response is not
-  /// counted, so that a single one may have any length.
+  /// counted, so that none is refused for its length alone.
   size_t maxUnsentBytes = 64UL * 1024 * 1024;
 
   bool operator==(const ServerLimits&) const = default;
